Let connections rest for 25 ms, so that no late second answer is taken for the next

At fault: gateway/src/backends.rs, REST = 5 ms, in free_link(). Ruled out: answers with more right behind them (the HTTP library refuses the connection, is_free()), and bytes that have come by the next use (stands() peeks). The window is now as long as the closes that were seen.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -25,8 +25,9 @@
 /// An answer that has begun must be whole after this: it is small and ready when its first byte is written.
 const ANSWER: Duration = Duration::from_millis(250);
 /// A connection that carried an answer is not used again for this long. Guards against bytes that a backend
-/// writes behind its answer, which would be taken for the answer to the next request.
-const REST: Duration = Duration::from_millis(5);
+/// writes behind its answer, which would be taken for the answer to the next request, and against closes right
+/// behind it, which the next request would cross. Second answers were seen up to 5 ms late, such closes up to 25 ms.
+const REST: Duration = Duration::from_millis(25);
 /// Load figures above this say nothing.
 const LARGEST_LOAD: f64 = 1e6;
 /// Idle connections are looked after this often.
