Ask a silent discovery agent often and without waiting, within the grace of drains

At fault: gateway/src/discovery.rs: WAIT + PATIENCE of 1.5 s for each call whoever answers, and pause(), which backed off after silence as after being turned away; stay(), which told of the first fault only, so that after a harmless one a list that cannot be read was never told. Design: `Pace`. Where lists are pushed, a call waits a third of the grace and is lost a quarter later; the first call on each connection does not wait, so an agent that is back answers it at once. The pause grows only where discovery answers and refuses. Where lists must be asked for, all is as it was. Each kind of fault is told once.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! What a gateway is told at its start: the environment and the file that `NODE_CONFIG` names.
 
 use crate::clock::span;
-use crate::discovery::{List, ListError};
+use crate::discovery::{List, ListError, Pace};
 use doorcourse::Settings;
 use doorcourse_simhost::settings::{self, Object};
 use serde::Deserialize;
@@ -80,6 +80,8 @@
     pub listen: SocketAddr,
     /// Where discovery is asked.
     pub discovery: SocketAddr,
+    /// How often discovery is asked.
+    pub pace: Pace,
     /// Where the counter is, if there is one.
     pub counter: Option<SocketAddr>,
     /// The seed of all chance.
@@ -129,6 +131,9 @@
             ms if ms > 0.0 => Ok(span(ms)),
             _ => Ok(usual),
         };
+        let rules = Object::of(&file.settings, "rules").map_err(ConfigError::Settings)?;
+        let grace = span(rules.number("drain-grace-ms").map_err(ConfigError::Settings)?);
+        let pace = Pace::of(!settings.list_on_request, grace);
         let known = match &file.known {
             Value::Null => List { seq: 0, whole: true, hosts: Vec::new() },
             value => List::from_value(value).map_err(ConfigError::Known)?,
@@ -138,6 +143,7 @@
             name: choose("NODE_NAME", Some(file.name)).unwrap_or_default(),
             listen: address(choose("NODE_LISTEN", file.listen), "NODE_LISTEN")?,
             discovery: address(choose("NODE_DISCOVERY", file.discovery), "NODE_DISCOVERY")?,
+            pace,
             counter,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -15,19 +15,47 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long one call of the watch may wait for news. Guards drains against answers that never come: a call that is
-/// lost looks like one without news until its wait is over, and what it should have told counts as told some
-/// seconds later. So waits are short; it costs a small call each time one is over without news.
-const WAIT: Duration = Duration::from_secs(1);
-/// A call that is silent for this much longer has been lost.
-const PATIENCE: Duration = Duration::from_millis(500);
+/// How often discovery is asked, and how long an answer is waited for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// How long one call of the watch may wait for news. Guards drains against answers that never come: a call that
+    /// is lost looks like one without news until its wait is over.
+    wait: Duration,
+    /// A call that is silent for this much longer has been lost.
+    patience: Duration,
+    /// The longest pause between calls that are turned away (see `pause`).
+    longest_pause: Duration,
+}
+
+impl Pace {
+    /// Where lists must be asked for, all gateways ask one service, and what it tells counts as told some seconds
+    /// after it was missed.
+    const ASKING: Self = Self {
+        wait: Duration::from_secs(1),
+        patience: Duration::from_millis(500),
+        longest_pause: Duration::from_millis(3200),
+    };
+
+    /// Where lists are pushed, an agent beside each gateway answers at once and at no cost, and what it has counts
+    /// as told whether or not a call is out. So the worst there is, a call lost when the agent fell silent and found
+    /// out only after it came back, a pause, and one call that is answered, fits into the drains' grace.
+    pub fn of(pushed: bool, drain_grace: Duration) -> Self {
+        if !pushed || drain_grace.is_zero() {
+            return Self::ASKING;
+        }
+        Self {
+            wait: Self::ASKING.wait.min(drain_grace / 3),
+            patience: Self::ASKING.patience.min(drain_grace / 4),
+            longest_pause: Self::ASKING.longest_pause.min(drain_grace / 4),
+        }
+    }
+}
+
 /// An answer that has begun is whole within this.
 const WHOLE: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Between calls after a first fault: the watch lasts as long as the next call comes within 200 ms. Each further
-/// fault doubles it up to the last. Guards discovery against the fleet: when most gateways come back at once it
-/// turns them away, and calls at a fixed pace from a hundred of them keep it too busy to answer any.
-const PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(3200)];
+/// Between calls after a fault: a watch lasts as long as the next call comes within 200 ms.
+const PAUSE: Duration = Duration::from_millis(100);
 /// The longest list that is read.
 const LONGEST: usize = 1 << 20;
 
@@ -140,22 +168,58 @@
     engine.post(if list.whole { Event::BackendList(entries) } else { Event::BackendChanges(entries) });
 }
 
-/// The wait after so many faults in a row: doubled with each, and jittered from the second on, so that gateways
-/// that failed together do not come again together.
-fn pause(faults: u32, chance: &mut fastrand::Rng) -> Duration {
-    let longest = PAUSE[0].saturating_mul(1 << faults.min(16)).min(PAUSE[1]);
-    if faults == 0 { PAUSE[0] } else { longest.mul_f64(0.5 + 0.5 * chance.f64()) }
+/// Why a connection to discovery was given up.
+#[derive(Debug, PartialEq)]
+enum Fault {
+    /// It did not come up, broke or was silent.
+    Lost(&'static str),
+    /// Discovery is there, but does not give the list.
+    TurnedAway(StatusCode),
+    /// The list cannot be read.
+    Unreadable(String),
+}
+
+impl Fault {
+    /// Its place among the kinds, each of which is told once.
+    fn kind(&self) -> usize {
+        match self {
+            Self::Lost(_) => 0,
+            Self::TurnedAway(_) => 1,
+            Self::Unreadable(_) => 2,
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost(how) => write!(f, "{how}"),
+            Self::TurnedAway(status) => write!(f, "answered {status}"),
+            Self::Unreadable(why) => write!(f, "{why}; the old list stays"),
+        }
+    }
+}
+
+/// The wait after being turned away so many times in a row: doubled with each, and jittered from the second on, so
+/// that gateways that failed together do not come again together. Guards discovery against the fleet: when most
+/// gateways come back at once it turns them away, and calls at a fixed pace from hundreds of them keep it too busy
+/// to answer any. Who is silent is kept busy by nobody: there the pause stays the first.
+fn pause(turned_away: u32, longest: Duration, chance: &mut fastrand::Rng) -> Duration {
+    let doubled = PAUSE.saturating_mul(1 << turned_away.saturating_sub(1).min(16)).min(longest.max(PAUSE));
+    if turned_away <= 1 { PAUSE } else { doubled.mul_f64(0.5 + 0.5 * chance.f64()) }
 }
 
 /// Keeps a watch going for ever, wherever discovery is by now; while it is silent the last list stays.
 pub async fn watch(
-    mut address: watch::Receiver<SocketAddr>, seq: u64, seed: u64, backends: Rc<Backends>, engine: Rc<Engine>,
+    mut address: watch::Receiver<SocketAddr>, seq: u64, seed: u64, pace: Pace, backends: Rc<Backends>,
+    engine: Rc<Engine>,
 ) {
     let (mut seq, mut chance) = (Some(seq), fastrand::Rng::with_seed(seed));
+    let mut told = [false; 3];
     loop {
         let at = *address.borrow_and_update();
         tokio::select! {
-            () = stay(at, seq, &mut chance, &backends, &engine) => {}
+            () = stay(at, seq, pace, &mut chance, &mut told, &backends, &engine) => {}
             Ok(()) = address.changed() => {}
         }
         // Guards against lists that count their versions differently: the new place is asked for all it has.
@@ -165,53 +229,56 @@
 
 /// Keeps a watch going at one address, for ever.
 async fn stay(
-    address: SocketAddr, mut seq: Option<u64>, chance: &mut fastrand::Rng, backends: &Backends,
-    engine: &Engine,
+    address: SocketAddr, mut seq: Option<u64>, pace: Pace, chance: &mut fastrand::Rng, told: &mut [bool; 3],
+    backends: &Backends, engine: &Engine,
 ) {
-    let (mut told, mut faults) = (false, 0);
+    let mut turned_away = 0;
     loop {
-        let mut answered = false;
-        let fault = match Link::connect(address, CONNECT_TIMEOUT).await {
-            Ok(mut link) => calls(&mut link, address, &mut seq, &mut answered, backends, engine).await,
-            Err(error) => format!("no connection: {error}"),
+        let (fault, answered) = match Link::connect(address, CONNECT_TIMEOUT).await {
+            Ok(mut link) => calls(&mut link, address, &mut seq, pace, backends, engine).await,
+            Err(_) => (Fault::Lost("no connection"), false),
         };
-        if !std::mem::replace(&mut told, true) {
+        if !std::mem::replace(&mut told[fault.kind()], true) {
             eprintln!("discovery: {fault} (told once)");
         }
-        faults = if answered { 0 } else { faults + 1 };
-        tokio::time::sleep(pause(faults, chance)).await;
+        let lost = matches!(fault, Fault::Lost(_));
+        turned_away = if lost || answered { 0 } else { turned_away + 1 };
+        tokio::time::sleep(pause(turned_away, pace.longest_pause, chance)).await;
     }
 }
 
-/// One call after another on one connection, until something is wrong with it.
+/// One call after another on one connection, until something is wrong with it; tells what, and whether one was
+/// answered before.
 async fn calls(
-    link: &mut Link, address: SocketAddr, seq: &mut Option<u64>, answered: &mut bool, backends: &Backends,
+    link: &mut Link, address: SocketAddr, seq: &mut Option<u64>, pace: Pace, backends: &Backends,
     engine: &Engine,
-) -> String {
+) -> (Fault, bool) {
+    // The first call does not wait: it shows at once whether there is anyone, and brings what was missed.
+    let (mut wait, mut answered) = (Duration::ZERO, false);
     loop {
         let uri = match seq {
-            Some(seq) => format!("/discovery/hosts?after={seq}&wait_ms={}", WAIT.as_millis()),
+            Some(seq) => format!("/discovery/hosts?after={seq}&wait_ms={}", wait.as_millis()),
             None => "/discovery/hosts".into(),
         };
         let request = Request::get(uri).header("Host", address.to_string()).body(Full::<Bytes>::default());
-        let Ok(request) = request else { return "the call cannot be written".into() };
-        let answer = tokio::time::timeout(WAIT + PATIENCE, link.exchange(request, LONGEST, WHOLE)).await;
+        let Ok(request) = request else { return (Fault::Lost("the call cannot be written"), answered) };
+        let answer = tokio::time::timeout(wait + pace.patience, link.exchange(request, LONGEST, WHOLE)).await;
         let list = match answer {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => List::parse(&body),
-            Ok(Ok((head, _))) => return format!("answered {}", head.status),
-            Ok(Err(_)) => return "the connection broke".into(),
-            Err(_) => return "silent".into(),
+            Ok(Ok((head, _))) => return (Fault::TurnedAway(head.status), answered),
+            Ok(Err(_)) => return (Fault::Lost("the connection broke"), answered),
+            Err(_) => return (Fault::Lost("silent"), answered),
         };
         match list {
             Ok(list) => {
                 *seq = Some(list.seq);
-                *answered = true;
+                (wait, answered) = (pace.wait, true);
                 tell(list, backends, engine);
             }
-            Err(error) => return error.to_string(),
+            Err(error) => return (Fault::Unreadable(error.to_string()), answered),
         }
         if !link.is_free().await {
-            return "the connection was closed".into();
+            return (Fault::Lost("the connection was closed"), answered);
         }
     }
 }
@@ -220,18 +287,34 @@
 mod tests {
     use super::*;
 
+    const LONGEST_PAUSE: Duration = Pace::ASKING.longest_pause;
+
     #[test]
-    fn faults_in_a_row_lengthen_the_pause_and_gateways_fall_out_of_step() {
+    fn being_turned_away_in_a_row_lengthens_the_pause_and_gateways_fall_out_of_step() {
         let pauses = |seed| {
             let mut chance = fastrand::Rng::with_seed(seed);
-            (0..12).map(|faults| pause(faults, &mut chance)).collect::<Vec<_>>()
+            (1..=12).map(|times| pause(times, LONGEST_PAUSE, &mut chance)).collect::<Vec<_>>()
         };
         let (one, other) = (pauses(1), pauses(2));
-        assert_eq!(one[0], PAUSE[0], "a watch outlives a single fault");
-        assert!(one.iter().all(|p| *p <= PAUSE[1]) && one[11] >= PAUSE[1] / 2);
+        assert_eq!(one[0], PAUSE, "a watch outlives a single fault");
+        assert!(one.iter().all(|p| *p <= LONGEST_PAUSE) && one[11] >= LONGEST_PAUSE / 2);
         assert!(one[..5].windows(2).filter(|w| w[0] < w[1]).count() >= 3, "{one:?}");
         assert!(one[1..].iter().zip(&other[1..]).all(|(a, b)| a != b), "{one:?} {other:?}");
         // A second of faults from a hundred gateways that have failed for a while is under a hundred calls.
         assert!(one[6..].iter().sum::<Duration>() > Duration::from_secs(6));
     }
+
+    #[test]
+    fn what_an_agent_has_when_it_comes_back_is_heard_within_the_grace_of_drains() {
+        for grace in [400, 600, 1000, 2000, 30_000].map(Duration::from_millis) {
+            let pace = Pace::of(true, grace);
+            // The call that was out is lost the moment it is made.
+            let lost =
+                pace.wait + pace.patience + pause(0, pace.longest_pause, &mut fastrand::Rng::with_seed(1));
+            assert!(lost < grace, "{lost:?} of {grace:?}");
+            assert!(pace.longest_pause <= grace / 2 && pace.wait <= Pace::ASKING.wait);
+        }
+        assert_eq!(Pace::of(false, Duration::from_secs(1)), Pace::ASKING);
+        assert_eq!(Pace::of(true, Duration::ZERO), Pace::ASKING);
+    }
 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -66,7 +66,7 @@
     discovery::tell(config.known, &backends, &engine);
     spawn(backends.clone().keep_tidy());
     let (moved, discovery) = watch::channel(config.discovery);
-    spawn(discovery::watch(discovery, seq, config.seed, backends, engine.clone()));
+    spawn(discovery::watch(discovery, seq, config.seed, config.pace, backends, engine.clone()));
     spawn(reload(hangup, moved, engine));
     if let Ok(address) = listener.local_addr() {
         eprintln!("fennelscale {}: listening at {address}", config.name);
