See clients leave behind their own bytes, and leave newcomers time at SIGTERM

Three faults in gateway/src/clients.rs, each with a test in crossings.rs that was seen to fail without its mend. - answer(): the HTTP library looks for the end of a connection only while it holds no bytes of it (mid_message_detect_eof), so a client that sent anything behind its request and left was not noticed until its deadline: the request was sent on after its quota, connection or next attempt came. `Socket::left` asks the event loop, which knows of the end whatever stands before it, every 50 ms while there are such bytes. - serve(): 250 ms after SIGTERM graceful_shutdown() also closes connections on which nothing has come yet, though whoever connected has a request on its way and does not send it again. Those have half a second; and the listener stays open while blocks are handed back, so that whatever crosses the close of an idle connection can come again. - read(): class names that a path carries only percent-encoded, and plan names beyond ASCII, were never found. And simhost/src/settings.rs: advice was sent where `retry-after` is false. Ruled out with tests that pass as it was: further signals, an answer that nobody has read at the end, leaving while a further attempt is awaited without bytes behind, a counter that moves while a call is out, answers without end.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -3,6 +3,7 @@
 use crate::backends::{LARGEST_BODY, Message};
 use crate::clock::millis;
 use crate::engine::{Engine, Reply};
+use crate::socket::Socket;
 use bytes::Bytes;
 use doorcourse::{Arrival, Effect, Name, RequestId, Settings};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -14,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
@@ -42,9 +44,10 @@
 const UNASKED: Duration = Duration::from_millis(2500);
 /// A failed accept is tried again after this: descriptors may have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// After the signal to end new connections are taken for this long. Halfway idle ones are closed ...
+/// After the signal to end new connections go on coming for this long. Halfway idle ones are closed ...
 const LINGER: Duration = Duration::from_millis(500);
-/// ... and those that came last have this long for their first request, in which blocks go back to the quotas.
+/// ... and blocks go back to the quotas in this time behind it, in which what comes is taken still. What is taken
+/// later may be cut off with the process.
 const HAND_BACK: Duration = Duration::from_millis(200);
 /// Who is asked to leave is let go of after this.
 const LAST_CALL: Duration = Duration::from_millis(50);
@@ -110,11 +113,13 @@
     /// What came since, up to the end of a head.
     head: RefCell<Vec<u8>>,
     leave: Notify,
+    socket: Socket,
 }
 
 impl Guest {
-    fn new() -> Self {
+    fn new(socket: Socket) -> Self {
         Self {
+            socket,
             busy: Cell::new(false),
             since: Cell::new(Instant::now()),
             answered: Cell::new(false),
@@ -130,6 +135,11 @@
         since + UNASKED
     }
 
+    /// Whether nothing has come since it connected.
+    fn is_silent(&self) -> bool {
+        !self.answered.get() && !self.busy.get() && self.head.borrow().is_empty()
+    }
+
     /// Notes bytes that came.
     fn note(&self, bytes: &[u8]) {
         let mut head = self.head.borrow_mut();
@@ -174,7 +184,7 @@
 
 /// A client's socket as the HTTP library sees it.
 struct Tap {
-    stream: TcpStream,
+    socket: Socket,
     guest: Rc<Guest>,
 }
 
@@ -183,7 +193,7 @@
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
         self.guest.note(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
@@ -191,25 +201,25 @@
 
 impl AsyncWrite for Tap {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(&mut self.socket).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
@@ -242,6 +252,7 @@
             // one, so new ones must still be taken.
             close.send_modify(|round| *round += 1);
             sleep(LINGER / 2).await;
+            self.engine.hand_back(HAND_BACK).await;
         };
         let mut ended = pin!(ended);
         loop {
@@ -255,7 +266,6 @@
             self.clone().welcome(stream, closing.clone());
         }
         drop(listener);
-        self.engine.hand_back(HAND_BACK).await;
         close.send_modify(|round| *round += 1);
         // Guards the end against clients that stop half-way: once nothing that was taken waits for its answer,
         // the last answers and the last bodies have this long.
@@ -306,11 +316,12 @@
     }
 
     fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
-        let guest = Rc::new(Guest::new());
+        let _ = stream.set_nodelay(true);
+        let socket = Socket(Rc::new(stream));
+        let guest = Rc::new(Guest::new(socket.clone()));
         self.guests.borrow_mut().push(guest.clone());
         let round = *closing.borrow();
         crate::backends::spawn(async move {
-            let _ = stream.set_nodelay(true);
             let service = service_fn(|request| {
                 let (front, guest) = (self.clone(), guest.clone());
                 async move {
@@ -322,23 +333,33 @@
             let connection = http1::Builder::new()
                 .header_read_timeout(None)
                 .max_buf_size(BUFFER)
-                .serve_connection(TokioIo::new(Tap { stream, guest: guest.clone() }), service);
+                .serve_connection(TokioIo::new(Tap { socket, guest: guest.clone() }), service);
             let mut connection = pin!(connection);
             // Lets go of what `wait_for` hands out: it locks the channel, and the next round would wait for
             // it on this one thread for ever.
             let mut closing = pin!(async { drop(closing.wait_for(|now| *now > round).await) });
-            let over = async {
+            let mut over = pin!(async {
                 while Instant::now() < guest.due() {
                     sleep_until(guest.due()).await;
                 }
-            };
+            });
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
-                () = over => {}
+                () = over.as_mut() => {}
                 () = closing.as_mut() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
+                    // Guards first requests on their way: who connects has one to send, and it is not sent
+                    // again when its connection closes without an answer.
+                    let last_chance = guest.since.get() + LINGER;
+                    let done = guest.is_silent() && timeout_at(last_chance, connection.as_mut()).await.is_ok();
+                    if !done {
+                        connection.as_mut().graceful_shutdown();
+                        tokio::select! {
+                            biased;
+                            _ = connection.as_mut() => {}
+                            () = over => {}
+                        }
+                    }
                 }
                 () = guest.leave.notified() => {
                     connection.as_mut().graceful_shutdown();
@@ -364,7 +385,16 @@
             match taken.and_then(|ticket| Ok((self.enter(ticket.message.id.clone())?, ticket))) {
                 Ok((_entry, ticket)) => {
                     guest.busy.set(true);
-                    self.decide(ticket).await
+                    // Guards backends against requests of those who are gone. The HTTP library sees an end only
+                    // while nothing stands before it: bytes that a client sent behind its request hide it.
+                    tokio::select! {
+                        biased;
+                        () = guest.socket.left() => {
+                            last = true;
+                            plain(StatusCode::BAD_REQUEST, "the client left\n")
+                        }
+                        response = self.decide(ticket) => response,
+                    }
                 }
                 Err(fault) => {
                     // Who asked wrongly may have meant something else with the bytes that follow.
@@ -429,7 +459,8 @@
     ) -> Result<Ticket, Fault> {
         let first = target.path().strip_prefix('/').and_then(|p| p.split('/').next());
         let class = first.filter(|c| !c.is_empty()).ok_or(Fault::NoPath)?;
-        let class = self.classes.iter().find(|(name, _)| **name == *class);
+        // Settings may give names that a path carries only percent-encoded.
+        let class = self.classes.iter().find(|(name, _)| percent_decode_str(class).eq(name.bytes()));
         let (class, effect) = class.cloned().ok_or(Fault::Bad("class"))?;
         let key = single(headers, "idempotency-key")?;
         let fits = match effect {
@@ -441,8 +472,9 @@
             return Err(Fault::Bad("method or Idempotency-Key, for this class"));
         }
         let id = single(headers, "req-id")?.filter(|id| is_id(id.as_bytes())).ok_or(Fault::Bad("Req-Id"))?;
-        let plan = text(headers, "api-plan")?.ok_or(Fault::Bad("Api-Plan"))?;
-        let plan = self.plans.iter().find(|p| ***p == *plan).ok_or(Fault::Bad("Api-Plan"))?.clone();
+        let plan = single(headers, "api-plan")?.ok_or(Fault::Bad("Api-Plan"))?;
+        let plan = self.plans.iter().find(|p| p.as_bytes() == plan.as_bytes());
+        let plan = plan.ok_or(Fault::Bad("Api-Plan"))?.clone();
         let customer = text(headers, "api-customer")?
             .filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))
             .filter(|c| u64::from_str_radix(c, 16).is_ok_and(|n| n < 1 << 33))
@@ -505,7 +537,9 @@
             }
             Ok(Ok(Reply::Refused(wait))) => {
                 let mut response = plain(StatusCode::TOO_MANY_REQUESTS, "refused, try again later\n");
-                if let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0)) {
+                if wait > 0.0
+                    && let Ok(wait) = HeaderValue::from_str(&format!("{:.3}", wait / 1000.0))
+                {
                     response.headers_mut().insert(RETRY_AFTER, wait);
                 }
                 response
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod discovery;
 pub mod engine;
 pub mod link;
+pub mod socket;
--- a/gateway/src/link.rs
+++ b/gateway/src/link.rs
@@ -1,6 +1,7 @@
 //! One HTTP/1.1 connection to a server. Whoever uses it drives it: it does nothing by itself, sends nothing
 //! twice, and is closed for certain the moment it is dropped.
 
+use crate::socket::Socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -57,25 +58,18 @@
 
 /// The socket as the HTTP library sees it; it notes how far the present request has been written.
 struct Wire {
-    stream: Rc<TcpStream>,
+    socket: Socket,
     trace: Rc<Trace>,
 }
 
 impl AsyncRead for Wire {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Ok(read) => {
-                    buf.advance(read);
-                    let filled = buf.filled();
-                    self.trace.note_read(&filled[filled.len() - read..]);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+        self.trace.note_read(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -85,21 +79,13 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write_vectored(bufs) {
-                Ok(written) => {
-                    if written > 0 {
-                        self.trace.progress.set(Progress::Partly);
-                    }
-                    return Poll::Ready(Ok(written));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
+        let written = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bufs))?;
+        if written > 0 {
+            self.trace.progress.set(Progress::Partly);
         }
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -107,7 +93,7 @@
     }
 
     /// The HTTP library flushes once all that it holds has been written, and it holds whole requests: their
-    /// bodies are in memory.
+    /// bodies are in memory. It does so in the same step as the last write, so nothing comes between the two.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.trace.progress.get() == Progress::Partly {
             self.trace.progress.set(Progress::Whole);
@@ -115,8 +101,8 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
@@ -139,7 +125,7 @@
         stream.set_nodelay(true)?;
         let (progress, begun, begins) = (Cell::new(Progress::Unsent), Cell::new(false), Notify::new());
         let (stream, trace) = (Rc::new(stream), Rc::new(Trace { progress, begun, begins }));
-        let wire = TokioIo::new(Wire { stream: stream.clone(), trace: trace.clone() });
+        let wire = TokioIo::new(Wire { socket: Socket(stream.clone()), trace: trace.clone() });
         let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(wire);
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
         Ok(Self { sender, driver: Some(Box::pin(driver)), stream, trace })
--- /dev/null
+++ b/gateway/tests/crossings.rs
@@ -0,0 +1,351 @@
+//! Where two events cross: each order is forced by the peers, which wait for one before they bring about the other.
+
+mod helper;
+
+use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, list, ok, request, row, until};
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// A request by a name that no other bears, and the same for a customer without a quota.
+fn marked(deadline: u64) -> (String, String) {
+    let text = request("look", deadline, "", "").replace("/a%20b", "/marked");
+    let unmetered = text.replace("/marked", "/unmetered").replace("Api-Plan: p", "Api-Plan: free");
+    let unmetered = unmetered.replace("00000000b4d65521", "0000000000000001");
+    (text, unmetered)
+}
+
+fn heard(backend: &Backend, what: &str) -> usize {
+    backend.heard.lock().expect("lock").iter().filter(|heard| heard.line.contains(what)).count()
+}
+
+/// Waits until the gateway has noticed that the client of a request left: until then its id is taken.
+async fn id_is_free(gateway: &Gateway, unmetered: &str) {
+    helper::soon("a free id", async {
+        while gateway.client().await.ask(unmetered).await.status() == 400 {
+            helper::pause(5).await;
+        }
+    })
+    .await;
+}
+
+// ---- Clients that leave ----
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_behind_a_request_do_not_hide_that_its_client_left() {
+    let backend = Backend::start(&[Do::Hang, Do::Say(ok("x"))]).await;
+    let world = World::with(&[&backend]).await;
+    for behind in ["G".to_owned(), "x".repeat(3000), request("look", 500_000, "", "")] {
+        let closed = backend.closed();
+        *backend.deeds.lock().expect("lock") = vec![Do::Hang, Do::Say(ok("x"))];
+        let attempts = backend.attempts();
+        let mut client = world.gateway.client().await;
+        client.write(&(request("look", 500_000, "", "") + &behind)).await;
+        until("the attempt", || backend.attempts() == attempts + 1).await;
+        drop(client);
+        until("the end of the attempt's connection", || backend.closed() > closed).await;
+        assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+        assert_eq!(backend.attempts(), attempts + 1, "nothing more of that client went on");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_while_its_quota_is_asked_for_goes_nowhere() {
+    for behind in ["", "GET / HTTP/1.1\r\n"] {
+        let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+        let setup = Setup::knowing(&[row("b", backend.at, "in_service")]).patient(200_000);
+        let world = World::set(&setup, Mood::Held).await;
+        let (text, unmetered) = marked(500_000);
+        let mut client = world.gateway.client().await;
+        client.write(&(text + behind)).await;
+        until("the call", || world.counter.calls.load(SeqCst) == 1).await;
+        drop(client);
+        id_is_free(&world.gateway, &unmetered).await;
+        *world.counter.mood.lock().expect("lock") = Mood::Adds;
+        assert_eq!(world.gateway.client().await.ask(&request("look", 60_000, "", "")).await.status(), 200);
+        assert_eq!((heard(&backend, "marked"), backend.attempts()), (0, 2));
+    }
+}
+
+/// A listener that takes nobody in: its line is full of connections, so further ones don't come up.
+async fn full_line() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let listener = socket.listen(1).expect("listening");
+    let at = listener.local_addr().expect("an address");
+    let mut line = Vec::new();
+    while let Ok(Ok(stream)) = tokio::time::timeout(Duration::from_millis(300), TcpStream::connect(at)).await
+    {
+        line.push(stream);
+    }
+    (listener, line)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_while_a_connection_comes_up_goes_nowhere() {
+    let (listener, line) = full_line().await;
+    let other = Backend::start(&[Do::Say(ok("x"))]).await;
+    let at = listener.local_addr().expect("an address");
+    let mut setup = Setup::knowing(&[row("b", at, "in_service")]);
+    setup.edits = vec![(r#""most-tries":6"#, r#""most-tries":6,"dial-timeout-ms":500000"#.into())];
+    let world = World::set(&setup, Mood::Adds).await;
+    let (text, unmetered) = marked(500_000);
+    let mut client = world.gateway.client().await;
+    client.write(&(text + "GET / HTTP/1.1\r\n")).await;
+    until("a call of the counter", || world.counter.calls.load(SeqCst) > 0).await;
+    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+    drop(client);
+    // The other one is known only now, so the first is all that the request could be on its way to.
+    world.discovery.tell(list(2, false, &[row("other", other.at, "in_service")]));
+    world.discovery.taken_in().await;
+    id_is_free(&world.gateway, &unmetered).await;
+    drop(line);
+    // What still comes up brings nothing.
+    while let Ok(Ok((mut stream, _))) = tokio::time::timeout(Duration::from_secs(4), listener.accept()).await
+    {
+        let mut bytes = Vec::new();
+        let _ = helper::soon("the end", stream.read_to_end(&mut bytes)).await;
+        assert_eq!(String::from_utf8_lossy(&bytes), "");
+    }
+    assert_eq!(heard(&other, "marked"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_while_a_further_attempt_is_awaited_goes_nowhere() {
+    let declined = "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_owned();
+    let (full, other) =
+        (Backend::start(&[Do::Say(declined)]).await, Backend::start(&[Do::Say(ok("x"))]).await);
+    // Who turned a request away is left alone for minutes.
+    let setup = Setup { cold: 10_000_000, ..Setup::knowing(&[row("b", full.at, "in_service")]) };
+    let world = World::set(&setup.patient(200_000), Mood::Adds).await;
+    let (text, _) = marked(500_000);
+    let mut client = world.gateway.client().await;
+    client.write(&text).await;
+    until("the attempt", || full.attempts() == 1).await;
+    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+    drop(client);
+    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+    world.discovery.tell(list(2, false, &[row("other", other.at, "in_service")]));
+    world.discovery.taken_in().await;
+    assert_eq!(world.gateway.client().await.ask(&request("look", 60_000, "", "")).await.status(), 200);
+    assert_eq!((full.attempts(), other.attempts(), heard(&other, "marked")), (1, 1, 0));
+}
+
+// ---- The end ----
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_first_request_that_comes_after_idle_connections_are_closed_is_answered() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let mut world = World::with(&[&backend]).await;
+    let mut idle = world.gateway.client().await;
+    assert_eq!(idle.ask(UP).await.status(), 200);
+    world.gateway.terminate();
+    until("the drain", || true).await;
+    // Connected while the gateway drains; its request is on its way when the idle ones are closed.
+    let mut newcomer = world.gateway.client().await;
+    idle.is_closed().await;
+    let reply = newcomer.ask(&request("order", 900, "", "b")).await;
+    assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn further_signals_do_not_cut_the_drain_short() {
+    let backend = Backend::start(&[Do::SayLater(1500, ok("x"))]).await;
+    let mut world = World::with(&[&backend]).await;
+    let mut client = world.gateway.client().await;
+    client.write(&request("order", 50_000, "", "b")).await;
+    until("the attempt", || backend.attempts() == 1).await;
+    world.gateway.terminate();
+    let mut idle = world.gateway.client().await;
+    assert_eq!(idle.ask(UP).await.headers["connection"], "close");
+    world.gateway.terminate();
+    world.gateway.reconfigure(&[]).await;
+    world.gateway.terminate();
+    assert_eq!(client.read().await.body, b"x");
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_nobody_has_read_yet_outlives_the_gateway() {
+    let body = "y".repeat(60_000);
+    let backend = Backend::start(&[Do::Say(ok(&body))]).await;
+    let mut world = World::with(&[&backend]).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(2048).expect("a small buffer");
+    let stream = socket.connect(world.gateway.at).await.expect("a connection");
+    let mut client = helper::Client(tokio::io::BufReader::new(stream));
+    client.write(&request("order", 50_000, "", "b")).await;
+    until("the attempt", || backend.attempts() == 1).await;
+    world.gateway.terminate();
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+    assert_eq!(client.read().await.body, body.as_bytes());
+}
+
+// ---- Lists ----
+
+#[tokio::test(flavor = "multi_thread")]
+async fn discovery_that_was_silent_is_asked_often_and_without_waiting() {
+    let backend = Backend::start(&[Do::SayLater(10_000, ok("x"))]).await;
+    let mut setup = Setup::knowing(&[row("b", backend.at, "in_service")]);
+    setup.edits = vec![(r#""rules":{"#, r#""rules":{"drain-grace-ms":1000,"#.into())];
+    let world = World::set(&setup, Mood::Adds).await;
+    let calls = || world.discovery.calls.load(SeqCst);
+    // So many faults in a row that a doubled pause would be at its longest.
+    until("calls", || calls() >= 6).await;
+    assert!(world.discovery.asked.lock().expect("lock").contains("&wait_ms=0 "));
+    let (before, mut busy) = (calls(), world.gateway.client().await);
+    busy.write(&request("look", 50_000, "", "")).await;
+    tokio::select! {
+        biased;
+        () = until("more calls", || calls() >= before + 8) => {}
+        _ = busy.read() => panic!("only {} calls in 10 s", calls() - before),
+    }
+    // What the agent learnt meanwhile comes with the next, and then calls may wait for news.
+    world.discovery.tell(list(2, true, &[row("b", backend.at, "terminating")]));
+    world.discovery.taken_in().await;
+    until("a call that waits", || {
+        world.discovery.asked.lock().expect("lock").contains("after=2&wait_ms=333 ")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_that_cannot_be_read_is_told_once_also_after_other_faults() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let world = World::with(&[&backend]).await;
+    until("a fault", || world.gateway.log_lines("discovery: silent") == 1).await;
+    for (seq, text) in [(2, "{"), (3, r#"{"seq":3,"whole":true,"hosts":[{"host":"b","dial":"nowhere"}]}"#)] {
+        world.discovery.tell(text.into());
+        world.discovery.taken_in().await;
+        until("a word of it", || world.gateway.log_lines("discovery: malformed") == 1).await;
+        assert_eq!(
+            world.gateway.client().await.ask(&request("order", 900, "", "b")).await.status(),
+            200,
+            "{seq}"
+        );
+    }
+    assert!(world.discovery.asked.lock().expect("lock").contains("?after=1&"));
+    assert_eq!(world.gateway.log_lines("discovery:"), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_indented_list_whose_call_crosses_sighup_is_taken_from_the_new_place() {
+    let (old, new) =
+        (Backend::start(&[Do::Say(ok("old"))]).await, Backend::start(&[Do::Say(ok("new"))]).await);
+    let mut world = World::with(&[&old]).await;
+    until("a call", || world.discovery.calls.load(SeqCst) > 0).await;
+    let discovery = Discovery::start().await;
+    world.gateway.reconfigure(&[(world.discovery.at.to_string(), discovery.at.to_string())]).await;
+    // The call that was out at the old place is answered only now, with what is wrong by now.
+    world.discovery.tell(list(900, true, &[row("b0", old.at, "in_service")]));
+    let text =
+        list(1, true, &[row("n", new.at, "in_service")]).replace(',', ",\r\n\t ").replace('{', "{\n  ");
+    discovery.tell(text);
+    discovery.taken_in().await;
+    assert_eq!(world.gateway.client().await.ask(&request("order", 900, "", "b")).await.body, b"new");
+    assert!(discovery.asked.lock().expect("lock").contains("after=1&"));
+}
+
+// ---- Connections to backends ----
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request() {
+    loop {
+        let backend = Backend::start(&[Do::SayAndThen(ok("good"), 15, ok("bad")), Do::Say(ok("good"))]).await;
+        let world = World::with(&[&backend]).await;
+        let mut client = world.gateway.client().await;
+        assert_eq!(client.ask(&request("order", 900, "", "b")).await.body, b"good");
+        let answered = Instant::now();
+        helper::pause(8).await;
+        assert_eq!(client.ask(&request("order", 900, "", "b")).await.body, b"good");
+        // On a machine that was too slow to bring the two together nothing was shown.
+        if answered.elapsed() < Duration::from_millis(15) {
+            return assert_eq!((backend.attempts(), backend.opened()), (2, 2));
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_without_an_end_are_given_up_and_the_client_hears_once() {
+    let progress = "HTTP/1.1 102 Processing\r\n\r\n".to_owned();
+    let endless = "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx".to_owned();
+    for (text, status) in [(progress, 504), (endless, 502)] {
+        let backend = Backend::start(&[Do::Repeat(text)]).await;
+        let world = World::with(&[&backend]).await;
+        let mut client = world.gateway.client().await;
+        assert_eq!(client.ask(&request("order", 900, "", "b")).await.status(), status);
+        client.stays_quiet().await;
+        until("the end of that connection", || backend.closed() == 1).await;
+        assert_eq!(backend.attempts(), 1);
+    }
+}
+
+// ---- Hand-overs ----
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_is_out_when_the_counter_moves_gets_its_answer_from_the_old_place() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let setup = Setup { burst: 8.0, rate: 0.001, ..Setup::knowing(&[row("b", backend.at, "in_service")]) };
+    let mut world = World::set(&setup.patient(200_000), Mood::Held).await;
+    let mut early = world.gateway.client().await;
+    early.write(&request("order", 50_000, "", "b")).await;
+    until("the call", || world.counter.calls.load(SeqCst) == 1).await;
+    let counter = Counter::start(Mood::Adds).await;
+    world.gateway.reconfigure(&[(world.counter.at.to_string(), counter.at.to_string())]).await;
+    // Another of the same customer while the call is out: it waits for the same answer, and nothing is added twice.
+    let mut late = world.gateway.client().await;
+    late.write(&request("order", 50_000, "", "b")).await;
+    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+    assert_eq!((counter.calls.load(SeqCst), backend.attempts()), (0, 0));
+    *world.counter.mood.lock().expect("lock") = Mood::Adds;
+    assert_eq!((early.read().await.status(), late.read().await.status()), (200, 200));
+    let added: f64 = world.counter.totals.lock().expect("lock").values().sum();
+    assert!((1.0..=8.0).contains(&added), "{added}");
+    assert_eq!(world.counter.calls.load(SeqCst), 1);
+}
+
+// ---- Settings ----
+
+#[tokio::test(flavor = "multi_thread")]
+async fn names_of_classes_and_plans_may_need_care_on_the_wire() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let mut setup = Setup::knowing(&[row("b", backend.at, "in_service")]);
+    setup.edits = vec![
+        (r#""name":"order""#, r#""name":"ord\u00e9r 50%\/b""#.into()),
+        (r#""name":"p""#, r#""name":"gro\u00df & co""#.into()),
+    ];
+    let world = World::set(&setup, Mood::Adds).await;
+    let mut client = world.gateway.client().await;
+    for path in ["/ord%C3%A9r%2050%25%2fb", "/ord%c3%a9r%2050%25%2Fb"] {
+        let text =
+            request("order", 900, "", "b").replace("/order", path).replace("Plan: p", "Plan: groß & co");
+        assert_eq!(client.ask(&text).await.status(), 200);
+    }
+    for wrong in ["/order", "/ord%C3%A9r%2050%25", "/ord%C3%A9r%2050%2fb", "/ord%C3%A9r%2050%25/b"] {
+        let text =
+            request("order", 900, "", "b").replace("/order", wrong).replace("Plan: p", "Plan: groß & co");
+        assert_eq!(world.gateway.client().await.ask(&text).await.status(), 400, "{wrong}");
+    }
+    let heard = backend.heard.lock().expect("lock");
+    assert_eq!(heard.len(), 2);
+    assert!(heard[0].line.starts_with("POST /ord%C3%A9r%2050%25%2fb/a%20b?c=d "), "{}", heard[0].line);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn where_advice_is_not_allowed_a_refusal_carries_none() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let mut setup = Setup { burst: 1.0, rate: 0.01, ..Setup::knowing(&[row("b", backend.at, "in_service")]) };
+    for (more, advised) in [("", true), (r#","retry-after":true"#, true), (r#","retry-after":false"#, false)]
+    {
+        setup.edits = vec![(r#""most-tries":6"#, format!(r#""most-tries":6{more}"#))];
+        let world = World::set(&setup, Mood::Adds).await;
+        let mut client = world.gateway.client().await;
+        assert_eq!(client.ask(&request("order", 900, "", "b")).await.status(), 200);
+        let reply = client.ask(&request("order", 900, "", "b")).await;
+        assert_eq!((reply.status(), reply.headers.contains_key("retry-after")), (429, advised), "{more}");
+    }
+}
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -79,6 +79,8 @@
     SayAndClose(String),
     /// Writes this text and, so many ms later, another.
     SayAndThen(String, u64, String),
+    /// Writes this text over and over for as long as it is read.
+    Repeat(String),
     /// Says nothing.
     Hang,
 }
@@ -133,6 +135,12 @@
                                 stream.write_all(text.as_bytes()).await.unwrap_or(());
                                 break;
                             }
+                            Do::Repeat(text) => {
+                                while stream.write_all(text.as_bytes()).await.is_ok() {
+                                    pause(10).await;
+                                }
+                                break;
+                            }
                             Do::Hang => {}
                         }
                     }
@@ -237,6 +245,8 @@
     Late(u64),
     Busy,
     Silent,
+    /// Adds, and answers once it is in another mood.
+    Held,
     Babbles,
     /// Adds, but says something else.
     Spoils(&'static str),
@@ -258,7 +268,7 @@
         let (totals, calls, mood) = (this.totals.clone(), this.calls.clone(), this.mood.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (totals, calls, mood) = (totals.clone(), calls.clone(), mood.clone());
+                let (totals, calls, moods) = (totals.clone(), calls.clone(), mood.clone());
                 tokio::spawn(async move {
                     let mut stream = BufReader::new(stream);
                     while let Some(words) = words(&mut stream).await {
@@ -268,9 +278,9 @@
                         }
                         assert_eq!((words[0].as_str(), words.len()), ("ADDGET", 4));
                         calls.fetch_add(1, Ordering::SeqCst);
-                        let mood = *mood.lock().expect("lock");
+                        let mood = *moods.lock().expect("lock");
                         let reply = match mood {
-                            Mood::Adds | Mood::Late(_) | Mood::Spoils(_) => {
+                            Mood::Adds | Mood::Late(_) | Mood::Spoils(_) | Mood::Held => {
                                 let amount: f64 = words[2].parse().expect("an amount");
                                 assert!(words[3].parse::<u64>().expect("a whole life") >= 1);
                                 let mut totals = totals.lock().expect("lock");
@@ -287,6 +297,9 @@
                         if let Mood::Late(ms) = mood {
                             pause(ms).await;
                         }
+                        if mood == Mood::Held {
+                            until("another mood", || *moods.lock().expect("lock") != Mood::Held).await;
+                        }
                         stream.write_all(reply.as_bytes()).await.unwrap_or(());
                     }
                 });
@@ -321,6 +334,8 @@
     pub sockets: usize,
     /// How long a backend may be cold, in ms; one that failed is left alone for a share of that.
     pub cold: u64,
+    /// Texts of the configuration that are others here.
+    pub edits: Vec<(&'static str, String)>,
 }
 
 impl Setup {
@@ -333,8 +348,19 @@
             known: list(1, true, rows),
             sockets: 1024,
             cold: 1000,
+            edits: Vec::new(),
         }
     }
+
+    /// Whatever is held, for quota, backend or attempt, is held for long: aims are of this many ms, and the counter
+    /// may be as slow.
+    pub fn patient(self, aim: u64) -> Self {
+        let edits = vec![
+            (r#""goal-time-ms":800"#, format!(r#""goal-time-ms":{aim}"#)),
+            (r#""count-limit-ms":50"#, format!(r#""count-limit-ms":{aim}"#)),
+        ];
+        Self { edits, ..self }
+    }
 }
 
 static FILES: AtomicU32 = AtomicU32::new(0);
@@ -350,7 +376,7 @@
 
 impl Gateway {
     pub async fn start(discovery: SocketAddr, counter: SocketAddr, setup: &Setup) -> Self {
-        let Setup { rate, burst, gateways, number, known, sockets, cold } = setup;
+        let Setup { rate, burst, gateways, number, known, sockets, cold, edits } = setup;
         let text = format!(
             r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",
             "seed":"{number}7f","limits":{{"sockets":{sockets}}},"known":{known},"settings":{{
@@ -358,11 +384,16 @@
             {{"name":"look","effect":"idempotent","goal-time-ms":800,"worth":1}},
             {{"name":"save","effect":"deduplicated","dedup-scope":"cell","window-ms":4000,"goal-time-ms":800,"worth":1}},
             {{"name":"order","effect":"at_most_once","goal-time-ms":800,"worth":1}}],
-            "plans":[{{"name":"p","refill":{rate},"burst":{burst},"worth-factor":1}}],
+            "plans":[{{"name":"p","refill":{rate},"burst":{burst},"worth-factor":1}},
+            {{"name":"free","worth-factor":1}}],
             "extra":{{"has-counter":true,"count-limit-ms":50,"units-top":1}},
             "permissions":{{"most-tries":6,"may-cancel":true,"max-retry-after-ms":1000}},
             "rules":{{"cold-from":0.2,"cold-ms":{cold}}}}}}}"#
         );
+        let text = edits.iter().fold(text, |text, (old, new)| {
+            assert!(text.contains(old), "{old} is not in the configuration");
+            text.replace(old, new)
+        });
         let number = FILES.fetch_add(1, Ordering::SeqCst);
         let config = std::env::temp_dir().join(format!("fennelscale-{}-{number}.json", std::process::id()));
         std::fs::write(&config, &text).expect("a file");
--- a/simhost/src/settings.rs
+++ b/simhost/src/settings.rs
@@ -45,6 +45,11 @@
         self.typed(key, "true or false", false, Value::as_bool)
     }
 
+    /// Whether something is permitted; what is not mentioned is.
+    fn permits(&self, key: &str) -> Result<bool, String> {
+        self.typed(key, "true or false", true, Value::as_bool)
+    }
+
     fn text(&self, key: &str) -> Result<&'a str, String> {
         self.typed(key, "a text", "", Value::as_str)
     }
@@ -70,6 +75,9 @@
     let top = Object(root);
     let extra = Object::of(root, "extra")?;
     let permissions = Object::of(root, "permissions")?;
+    // Clients that are sent no advice follow none, however long.
+    let longest_advice =
+        if permissions.permits("retry-after")? { permissions.number("max-retry-after-ms")? } else { 0.0 };
     let rules = Object::of(root, "rules")?;
     let prices = Object::of(root, "prices")?;
     let reports = match Object::of(root, "load-info")?.text("source")? {
@@ -95,7 +103,7 @@
         cancel: permissions.flag("may-cancel")?,
         list_on_request: top.text("discovery")? == "on_request",
         most_attempts: permissions.count("most-tries")?,
-        longest_advice: permissions.number("max-retry-after-ms")?,
+        longest_advice,
         cold_share: rules.number("cold-from")?,
         cold_time: rules.number("cold-ms")?,
         fall_multiple: rules.number("overload-factor")?,
