Give up a waiting keyed repeat before its backends would take it for a new request

Seen: by reading, then forced in tests/effects.rs: a keyed request breaks just inside its window, no backend of its group is free, and it waits for up to 0.3 of its aim; the first backend that gets free is sent it after the window, where a repeat runs again. At fault: src/logic.rs, may_try_again() checked the window when the attempt ended, place() and hold() no more, and neither left time for the connection to come up (`dial-timeout-ms`), which the window goes on during. Design: send_until() is the one latest time of a send; may_try_again() asks it and hold() ends a wait by it. Test: a_keyed_repeat_that_waits_..., seen to fail without this.

--- a/simhost/src/settings.rs
+++ b/simhost/src/settings.rs
@@ -102,6 +102,7 @@
         peers: permissions.flag("peers")?,
         cancel: permissions.flag("may-cancel")?,
         list_on_request: top.text("discovery")? == "on_request",
+        connect_timeout: permissions.number("dial-timeout-ms")?,
         most_attempts: permissions.count("most-tries")?,
         longest_advice,
         cold_share: rules.number("cold-from")?,
--- a/src/check.rs
+++ b/src/check.rs
@@ -32,6 +32,7 @@
     }
     figure(settings.tick, "tick")?;
     figure(settings.counter_timeout, "counter time-out")?;
+    figure(settings.connect_timeout, "connect time-out")?;
     figure(settings.most_units, "most units")?;
     figure(settings.longest_advice, "longest advice")?;
     figure(settings.cold_share, "cold share")?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -120,6 +120,8 @@
     pub cancel: bool,
     /// Whether the list must be asked for.
     pub list_on_request: bool,
+    /// A connection that takes longer to come up has failed.
+    pub connect_timeout: Millis,
     /// The most attempts of one request.
     pub most_attempts: u32,
     /// The longest advice that a client follows.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -572,11 +572,10 @@
     }
 
     fn hold(&mut self, id: RequestId, stage: Stage, until: Millis, out: &mut Vec<Action>) {
+        let until = self.requests.get(&id).map_or(until, |r| until.min(self.send_until(r)));
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.stage = stage;
-        request.hold_until = until.min(request.deadline - LAST_TICKS * self.settings.tick);
-        let after = (request.hold_until - self.now).max(0.0);
-        out.push(Action::SetTimer { after, token: id * 2 });
+        (request.stage, request.hold_until) = (stage, until);
+        out.push(Action::SetTimer { after: (until - self.now).max(0.0), token: id * 2 });
     }
 
     /// Sends a request on, or has it wait in line, those worth more first; no line outgrows what is out.
@@ -782,14 +781,21 @@
 
     fn may_try_again(&self, id: RequestId) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let (class, last) = (&self.settings.classes[request.class], LAST_TICKS * self.settings.tick);
-        let allowed = match (&request.may_have_run, class.effect) {
-            (None, _) => true,
+        let allowed = match (&request.may_have_run, self.settings.classes[request.class].effect) {
+            (None, _) | (_, Effect::Keyed) => true,
             (_, Effect::Safe) => request.attempts < REPEAT_MOST,
-            (Some((sent, ..)), Effect::Keyed) => self.now - sent < class.memory - last,
             (Some(_), Effect::Unsafe) => false,
         };
-        allowed && request.deadline - self.now > last && request.attempts < self.settings.most_attempts
+        allowed && self.now < self.send_until(request) && request.attempts < self.settings.most_attempts
+    }
+
+    /// When an attempt may be sent at the latest. A keyed one that may have run has to come while it is still dropped
+    /// as a repeat, and its connection may take all of its time to come up.
+    fn send_until(&self, request: &Request) -> Millis {
+        let (class, connect) = (&self.settings.classes[request.class], self.settings.connect_timeout);
+        let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
+        let forgotten = tied.map_or(f64::INFINITY, |(sent, ..)| sent + class.memory - connect);
+        request.deadline.min(forgotten) - LAST_TICKS * self.settings.tick
     }
 
     // ---- The counter ----
@@ -929,8 +935,7 @@
 
     fn on_sweep(&mut self, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { after: SWEEP, token: SWEEP_TOKEN });
-        let now = self.now;
-        let mut asking = Vec::new();
+        let (now, mut asking) = (self.now, Vec::new());
         let (plans, ending) = (&self.settings.plans, self.ending);
         self.told.retain(|_, (_, at)| now - *at < KEEP_MOST);
         // Guards the memory, and each choice, against a fleet that is replaced all day.
--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -120,3 +120,22 @@
     let did = door.end(1, 1, &next, Outcome::Broken);
     assert!(sends(&did) == 0 && refused(&did, 1), "{did:?}");
 }
+
+#[test]
+fn a_keyed_repeat_that_waits_is_given_up_before_it_would_be_taken_for_new() {
+    let mut settings = settings();
+    // Dropped as a repeat for 1 s, of which a connection may take a quarter; held for up to 3 s.
+    (settings.classes[1].memory, settings.classes[1].aim, settings.connect_timeout) =
+        (1000.0, 10_000.0, 250.0);
+    let mut door = Door::new(settings, &["a1"]);
+    let at = door.served(1, "c", "plain", "keyed");
+    door.now += 700.0;
+    // Nobody of its group is free: the only one has just failed.
+    let did = door.end(1, 0, &at, Outcome::Error);
+    let did = if sends(&did) == 1 { door.end(1, 1, &at, Outcome::TimedOut) } else { did };
+    assert!(sends(&did) == 0 && !failed(&did, 1), "it waits: {did:?}");
+    let did = door.pass(60.0, &[1]);
+    assert!(failed(&did, 1) && sends(&did) == 0, "not refused, and not sent to run twice: {did:?}");
+    door.tell(Event::BackendChanges(vec![backend("a2", BackendState::Ready, None)]));
+    assert!(!door.did.iter().any(|a| matches!(a, Action::Send { .. })), "{:?}", door.did);
+}
