Halve the step of the guard against overload, so that chance alone sheds less

At fault: src/logic.rs, TAKE_STEP = 0.4. One late answer takes 0.36 of the share away and one in time gives back 0.04: with few answers in each gateway and 5 % of them late by chance the share wanders far below one.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,7 +79,7 @@
 const ROOM_LEAST: f64 = 0.2;
 /// The share of fresh requests taken moves as room does, by this: it sinks until few answers are late,
 /// however many that turns away. Each one turned away raises it a little, or nobody would ask again.
-const TAKE_STEP: f64 = 0.4;
+const TAKE_STEP: f64 = 0.2;
 const TAKE_LEAST: f64 = 0.1;
 const TAKE_AGAIN: f64 = 0.01;
 /// What is let in without a word of its customer is worth this many times less: some of it is beyond quotas.
