--- a/src/logic.rs
+++ b/src/logic.rs
@@ -789,8 +789,8 @@
         allowed && self.now < self.send_until(request) && request.attempts < self.settings.most_attempts
     }
 
-    /// When an attempt may be sent at the latest. A keyed one that may have run has to come while it is still dropped
-    /// as a repeat, and its connection may take all of its time to come up.
+    /// The latest time of a send. A keyed repeat has to come while it is still dropped as one, and its connection
+    /// may take all of its time to come up.
     fn send_until(&self, request: &Request) -> Millis {
         let (class, connect) = (&self.settings.classes[request.class], self.settings.connect_timeout);
         let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
