--- a/src/logic.rs
+++ b/src/logic.rs
@@ -789,7 +789,7 @@
         allowed && self.now < self.send_until(request) && request.attempts < self.settings.most_attempts
     }
 
-    /// The latest time of a send. A keyed repeat has to come while it is still dropped as one, and its connection
+    /// The latest time of a send. A keyed repeat has to come while it is dropped as one, and its connection
     /// may take all of its time to come up.
     fn send_until(&self, request: &Request) -> Millis {
         let (class, connect) = (&self.settings.classes[request.class], self.settings.connect_timeout);
