Know what discovery has within 6 s after any mix of failed calls, also where it is slow

Cause: where lists are asked for, pauses after refusals grew to 3.2 s. With what was out when discovery could be reached, one more failure and the call that is answered that came to 8.65 s, over the 6 s after which a change counts as told. And a list that began over 0.5 s after its call, or took longer to come whole, was given up each time: a discovery that is merely slow was never heard. Change: the waits are a policy of their own (backoff.rs): capped exponential backoff with jitter, now up to 1.5 s, and a call limit that doubles with each silent call (or, also where lists are pushed, each answer that does not end in time) up to 1.4 s. Refusals set the limit back, so the longest limits and the longest pauses never come together.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,7 +1,8 @@
 //! What a gateway is told at its start: the environment and the file that `NODE_CONFIG` names.
 
+use crate::backoff::Pace;
 use crate::clock::span;
-use crate::discovery::{List, ListError, Pace};
+use crate::discovery::{List, ListError};
 use doorcourse::Settings;
 use doorcourse_simhost::settings::{self, Object};
 use serde::Deserialize;
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,8 +1,9 @@
 //! The list of backends: what it says, and the watch that keeps it fresh.
 
 use crate::backends::Backends;
+use crate::backoff::{CONNECT_TIMEOUT, Failure, Pace, Retry};
 use crate::engine::Engine;
-use crate::link::Link;
+use crate::link::{Link, Progress};
 use bytes::Bytes;
 use doorcourse::{BackendEntry, BackendState, Event};
 use http_body_util::Full;
@@ -14,48 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::{Instant, timeout};
 
-/// How often discovery is asked, and how long an answer is waited for.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    /// How long one call of the watch may wait for news. Guards drains against answers that never come: a call that
-    /// is lost looks like one without news until its wait is over.
-    pub wait: Duration,
-    /// A call that is silent for this much longer has been lost.
-    pub patience: Duration,
-    /// The longest pause between calls that are turned away (see [`pause`]).
-    pub longest_pause: Duration,
-}
-
-impl Pace {
-    /// Where lists must be asked for, all gateways ask one service, and what it tells counts as told some seconds
-    /// after it was missed.
-    pub const ASKING: Self = Self {
-        wait: Duration::from_secs(1),
-        patience: Duration::from_millis(500),
-        longest_pause: Duration::from_millis(3200),
-    };
-
-    /// Where lists are pushed, an agent beside each gateway answers at once and at no cost, and what it has counts
-    /// as told whether or not a call is out. So the worst there is, a call lost when the agent fell silent and found
-    /// out only after it came back, a pause, and one call that is answered, fits into the drains' grace.
-    pub fn of(pushed: bool, drain_grace: Duration) -> Self {
-        if !pushed || drain_grace.is_zero() {
-            return Self::ASKING;
-        }
-        Self {
-            wait: Self::ASKING.wait.min(drain_grace / 3),
-            patience: Self::ASKING.patience.min(drain_grace / 4),
-            longest_pause: Self::ASKING.longest_pause.min(drain_grace / 4),
-        }
-    }
-}
-
-/// An answer that has begun is whole within this.
-const WHOLE: Duration = Duration::from_millis(500);
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Between calls after a fault: a watch lasts as long as the next call comes within 200 ms.
-pub const PAUSE: Duration = Duration::from_millis(100);
 /// The longest list that is read.
 const LONGEST: usize = 1 << 20;
 
@@ -171,8 +132,12 @@
 /// Why a connection to discovery was given up.
 #[derive(Debug, PartialEq)]
 enum Fault {
-    /// It did not come up, broke or was silent.
+    /// It did not come up or broke.
     Lost(&'static str),
+    /// Nothing came in time.
+    Silent,
+    /// An answer began, but was not whole in time.
+    Unfinished,
     /// Discovery is there, but does not give the list.
     TurnedAway(StatusCode),
     /// The list cannot be read.
@@ -183,32 +148,34 @@
     /// Its place among the kinds, each of which is told once.
     fn kind(&self) -> usize {
         match self {
-            Self::Lost(_) => 0,
+            Self::Lost(_) | Self::Silent | Self::Unfinished => 0,
             Self::TurnedAway(_) => 1,
             Self::Unreadable(_) => 2,
         }
     }
+
+    fn failure(&self) -> Failure {
+        match self {
+            Self::Lost(_) => Failure::Lost,
+            Self::Silent => Failure::Silent,
+            Self::Unfinished => Failure::Unfinished,
+            Self::TurnedAway(_) | Self::Unreadable(_) => Failure::TurnedAway,
+        }
+    }
 }
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Lost(how) => write!(f, "{how}"),
+            Self::Silent => write!(f, "silent"),
+            Self::Unfinished => write!(f, "an answer was not whole in time"),
             Self::TurnedAway(status) => write!(f, "answered {status}"),
             Self::Unreadable(why) => write!(f, "{why}; the old list stays"),
         }
     }
 }
 
-/// The wait after being turned away so many times in a row: doubled with each, and jittered from the second on, so
-/// that gateways that failed together do not come again together. Guards discovery against the fleet: when most
-/// gateways come back at once it turns them away, and calls at a fixed pace from hundreds of them keep it too busy
-/// to answer any. Who is silent is kept busy by nobody: there the pause stays the first.
-pub fn pause(turned_away: u32, longest: Duration, chance: &mut fastrand::Rng) -> Duration {
-    let doubled = PAUSE.saturating_mul(1 << turned_away.saturating_sub(1).min(16)).min(longest.max(PAUSE));
-    if turned_away <= 1 { PAUSE } else { doubled.mul_f64(0.5 + 0.5 * chance.f64()) }
-}
-
 /// Keeps a watch going for ever, wherever discovery is by now; while it is silent the last list stays.
 pub async fn watch(
     mut address: watch::Receiver<SocketAddr>, seq: u64, seed: u64, pace: Pace, backends: Rc<Backends>,
@@ -232,53 +199,53 @@
     address: SocketAddr, mut seq: Option<u64>, pace: Pace, chance: &mut fastrand::Rng, told: &mut [bool; 3],
     backends: &Backends, engine: &Engine,
 ) {
-    let mut turned_away = 0;
+    let mut retry = Retry::new(pace);
     loop {
-        let (fault, answered) = match Link::connect(address, CONNECT_TIMEOUT).await {
-            Ok(mut link) => calls(&mut link, address, &mut seq, pace, backends, engine).await,
-            Err(_) => (Fault::Lost("no connection"), false),
+        let fault = match Link::connect(address, CONNECT_TIMEOUT).await {
+            Ok(mut link) => calls(&mut link, address, &mut seq, pace, &mut retry, backends, engine).await,
+            Err(_) => Fault::Lost("no connection"),
         };
         if !std::mem::replace(&mut told[fault.kind()], true) {
             eprintln!("discovery: {fault} (told once)");
         }
-        let lost = matches!(fault, Fault::Lost(_));
-        turned_away = if lost || answered { 0 } else { turned_away + 1 };
-        tokio::time::sleep(pause(turned_away, pace.longest_pause, chance)).await;
+        tokio::time::sleep(retry.failed(fault.failure(), chance.f64())).await;
     }
 }
 
-/// One call after another on one connection, until something is wrong with it; tells what, and whether one was
-/// answered before.
+/// One call after another on one connection, until something is wrong with it; tells what.
 async fn calls(
-    link: &mut Link, address: SocketAddr, seq: &mut Option<u64>, pace: Pace, backends: &Backends,
-    engine: &Engine,
-) -> (Fault, bool) {
+    link: &mut Link, address: SocketAddr, seq: &mut Option<u64>, pace: Pace, retry: &mut Retry,
+    backends: &Backends, engine: &Engine,
+) -> Fault {
     // The first call does not wait: it shows at once whether there is anyone, and brings what was missed.
-    let (mut wait, mut answered) = (Duration::ZERO, false);
+    let mut wait = Duration::ZERO;
     loop {
         let uri = match seq {
             Some(seq) => format!("/discovery/hosts?after={seq}&wait_ms={}", wait.as_millis()),
             None => "/discovery/hosts".into(),
         };
         let request = Request::get(uri).header("Host", address.to_string()).body(Full::<Bytes>::default());
-        let Ok(request) = request else { return (Fault::Lost("the call cannot be written"), answered) };
-        let answer = tokio::time::timeout(wait + pace.patience, link.exchange(request, LONGEST, WHOLE)).await;
+        let Ok(request) = request else { return Fault::Lost("the call cannot be written") };
+        let (begun, whole) = (Instant::now(), retry.whole());
+        let answer = timeout(retry.limit(wait), link.exchange(request, LONGEST, whole)).await;
         let list = match answer {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => List::parse(&body),
-            Ok(Ok((head, _))) => return (Fault::TurnedAway(head.status), answered),
-            Ok(Err(_)) => return (Fault::Lost("the connection broke"), answered),
-            Err(_) => return (Fault::Lost("silent"), answered),
+            Ok(Ok((head, _))) => return Fault::TurnedAway(head.status),
+            Ok(Err(Progress::Spoilt)) if begun.elapsed() >= whole => return Fault::Unfinished,
+            Ok(Err(_)) => return Fault::Lost("the connection broke"),
+            Err(_) => return Fault::Silent,
         };
         match list {
             Ok(list) => {
                 *seq = Some(list.seq);
-                (wait, answered) = (pace.wait, true);
+                wait = pace.wait;
+                retry.answered();
                 tell(list, backends, engine);
             }
-            Err(error) => return (Fault::Unreadable(error.to_string()), answered),
+            Err(error) => return Fault::Unreadable(error.to_string()),
         }
         if !link.is_free().await {
-            return (Fault::Lost("the connection was closed"), answered);
+            return Fault::Lost("the connection was closed");
         }
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod backends;
+pub mod backoff;
 pub mod clients;
 pub mod clock;
 pub mod config;
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -1,18 +1,33 @@
 //! How the watch on the list of backends paces its calls.
 
-use fennelscale::discovery::{PAUSE, Pace, pause};
+mod helper;
+
+use doorcourse::Reports;
+use doorcourse_simhost::settings;
+use fennelscale::backends::Backends;
+use fennelscale::backoff::{CONNECT_TIMEOUT, Failure, Pace, Retry};
+use fennelscale::discovery;
+use fennelscale::engine::Engine;
+use helper::{Backend, Do, list, ok, row};
 use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
 
-const LONGEST_PAUSE: Duration = Pace::ASKING.longest_pause;
+const LONGEST_PAUSE: Duration = Pace::ASKING.backoff.cap;
+/// What discovery has counts as told this long after it could be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// Of that, what a gateway short of processor time may need beside its time limits.
+const SPARE: Duration = Duration::from_millis(500);
 
 #[test]
 fn being_turned_away_in_a_row_lengthens_the_pause_and_gateways_fall_out_of_step() {
     let pauses = |seed| {
         let mut chance = fastrand::Rng::with_seed(seed);
-        (1..=12).map(|times| pause(times, LONGEST_PAUSE, &mut chance)).collect::<Vec<_>>()
+        (1..=12).map(|times| Pace::ASKING.backoff.pause(times, chance.f64())).collect::<Vec<_>>()
     };
     let (one, other) = (pauses(1), pauses(2));
-    assert_eq!(one[0], PAUSE, "a watch outlives a single fault");
+    assert_eq!(one[0], Pace::ASKING.backoff.first, "a watch outlives a single fault");
     assert!(one.iter().all(|p| *p <= LONGEST_PAUSE) && one[11] >= LONGEST_PAUSE / 2);
     assert!(one[..5].windows(2).filter(|w| w[0] < w[1]).count() >= 3, "{one:?}");
     assert!(one[1..].iter().zip(&other[1..]).all(|(a, b)| a != b), "{one:?} {other:?}");
@@ -24,11 +39,174 @@
 fn what_an_agent_has_when_it_comes_back_is_heard_within_the_grace_of_drains() {
     for grace in [400, 600, 1000, 2000, 30_000].map(Duration::from_millis) {
         let pace = Pace::of(true, grace);
-        // The call that was out is lost the moment it is made.
-        let lost = pace.wait + pace.patience + pause(0, pace.longest_pause, &mut fastrand::Rng::with_seed(1));
-        assert!(lost < grace, "{lost:?} of {grace:?}");
-        assert!(pace.longest_pause <= grace / 2 && pace.wait <= Pace::ASKING.wait);
+        // The call that was out is lost the moment it is made. However often that went before: silence changes
+        // nothing there.
+        let mut retry = Retry::new(pace);
+        for _ in 0..3 {
+            let lost = retry.limit(pace.wait) + retry.failed(Failure::Silent, 1.0);
+            assert!(lost < grace, "{lost:?} of {grace:?}");
+        }
+        assert!(pace.backoff.cap <= grace / 2 && pace.wait <= Pace::ASKING.wait);
     }
     assert_eq!(Pace::of(false, Duration::from_secs(1)), Pace::ASKING);
     assert_eq!(Pace::of(true, Duration::ZERO), Pace::ASKING);
 }
+
+const FAILURES: [Failure; 4] = [Failure::Lost, Failure::Silent, Failure::Unfinished, Failure::TurnedAway];
+
+/// The longest time to the end of a call that is answered: `failures` further calls fail before in any way, each
+/// with a connection that comes up at the last moment, and as late as it can, with the longest pause behind.
+fn longest(retry: &Retry, failures: u32) -> Duration {
+    let call = CONNECT_TIMEOUT + retry.limit(Duration::ZERO);
+    let more = FAILURES.into_iter().filter(|_| failures > 0).map(|failure| {
+        let mut retry = retry.clone();
+        retry.failed(failure, 1.0) + longest(&retry, failures - 1)
+    });
+    call + more.max().unwrap_or_default()
+}
+
+/// The same for each place that up to `before` failures in any order lead to.
+fn longest_from_anywhere(retry: &Retry, before: u32, failures: u32) -> Duration {
+    let here = longest(retry, failures);
+    let more = FAILURES.into_iter().filter(|_| before > 0).map(|failure| {
+        let mut retry = retry.clone();
+        retry.failed(failure, 1.0);
+        longest_from_anywhere(&retry, before - 1, failures)
+    });
+    here.max(more.max().unwrap_or_default())
+}
+
+#[test]
+fn what_discovery_has_is_known_in_time_after_any_mix_of_failures() {
+    // When discovery can be reached a call or a pause may be under way, and one more call may fail after that. A
+    // pause alone is shorter than a call and the pause behind it.
+    let fresh = Retry::new(Pace::ASKING);
+    let connecting = longest_from_anywhere(&fresh, 7, 2);
+    // A call that waits is made only on a connection that has brought a list.
+    let watching = FAILURES.into_iter().map(|failure| {
+        let mut retry = fresh.clone();
+        fresh.limit(Pace::ASKING.wait) + retry.failed(failure, 1.0) + longest(&retry, 1)
+    });
+    let worst = connecting.max(watching.max().unwrap_or_default());
+    println!("known {worst:?} after discovery could be reached, at the latest");
+    assert!(worst + SPARE <= TOLD, "{worst:?}");
+}
+
+#[test]
+fn three_hundred_gateways_that_are_turned_away_together_do_not_stay_in_step() {
+    let (from, to) = (Duration::from_secs(2), Duration::from_secs(30));
+    let mut calls = Vec::new();
+    for seed in 0..300 {
+        let (mut retry, mut chance) = (Retry::new(Pace::ASKING), fastrand::Rng::with_seed(seed));
+        let mut now = Duration::ZERO;
+        while now < to {
+            now += retry.failed(Failure::TurnedAway, chance.f64());
+            calls.push(now);
+        }
+    }
+    calls.retain(|at| (from..to).contains(at));
+    calls.sort();
+    let window = |at: &Duration| calls.partition_point(|c| *c < *at + Duration::from_millis(100));
+    let worst = calls.iter().enumerate().map(|(n, at)| window(at) - n).max().expect("calls");
+    println!("{} calls in 28 s, {worst} in the worst 100 ms", calls.len());
+    // In step it would be all of them; an even spread would be 27.
+    assert!(worst <= 60, "{worst}");
+    // Less than one a second from each on average.
+    assert!(calls.len() < 300 * 28, "{}", calls.len());
+}
+
+// ---- On sockets, by a clock of the test's own ----
+
+/// The clock moves by steps, and between two of them all that is ready on the sockets is done.
+async fn step() {
+    tokio::time::advance(Duration::from_millis(20)).await;
+    for _ in 0..12 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Plays a watch on a discovery that acts by a list of deeds. Tells how long after the call number `reachable` a
+/// call showed that the list of version 7 had been taken in.
+fn told_after(pace: Pace, seed: u64, deeds: &[Do], reachable: usize) -> Duration {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    let runtime = runtime.expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        // While such a task runs the clock does not move by itself.
+        let (hold, held) = std::sync::mpsc::channel::<()>();
+        tokio::task::spawn_blocking(move || held.recv());
+        let service = Backend::start(deeds).await;
+        let settings = r#"{"fleet-size":1,"my-number":0,"discovery":"on_request",
+            "classes":[{"name":"look","effect":"idempotent","goal-time-ms":800,"worth":1}]}"#;
+        let settings = settings::read(&serde_json::from_str(settings).expect("JSON")).expect("settings");
+        let backends = Backends::new(Duration::from_secs(1), Duration::from_secs(1), Reports::None, 10);
+        let engine = Engine::start(settings, seed, backends.clone(), None).expect("an engine");
+        let (_moved, address) = watch::channel(service.at);
+        tokio::task::spawn_local(discovery::watch(address, 1, seed, pace, backends, engine));
+        while service.attempts() < reachable {
+            step().await;
+        }
+        let since = Instant::now();
+        let told = || {
+            let heard = service.heard.lock().expect("lock");
+            heard.last().is_some_and(|call| call.line.contains("after=7&"))
+        };
+        while !told() && since.elapsed() < Duration::from_secs(60) {
+            step().await;
+        }
+        drop(hold);
+        since.elapsed()
+    })
+}
+
+fn news() -> String {
+    list(7, true, &[row("b", "127.0.0.1:9".parse().expect("an address"), "in_service")])
+}
+
+#[test]
+fn a_list_is_taken_in_within_6_s_after_refusals_resets_cuts_silence_and_noise_in_any_order() {
+    let half = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"seq\":".to_owned();
+    let failures = [
+        Do::Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".into()),
+        Do::SayAndClose(String::new()),
+        Do::SayAndClose(half.clone()),
+        Do::Say(half),
+        Do::Hang,
+        Do::Say(ok("{")),
+    ];
+    // Its pauses after the failures that count are nearly the longest there are.
+    let long = |seed: &u64| {
+        let mut chance = fastrand::Rng::with_seed(*seed);
+        let draws: Vec<_> = (0..8).map(|_| chance.f64()).collect();
+        draws[6..].iter().all(|d| *d > 0.97)
+    };
+    let seed = (0..).find(long).expect("a seed");
+    let mut worst = Duration::ZERO;
+    for before in [&failures[0], &failures[3], &failures[4]] {
+        for out in &failures {
+            for further in &failures {
+                let mut deeds = vec![before.clone(); 6];
+                deeds.extend([out.clone(), further.clone(), Do::Say(ok(&news())), Do::Hang]);
+                let took = told_after(Pace::ASKING, seed, &deeds, 7);
+                assert!(took < TOLD, "{took:?}: {before:?}, {out:?}, {further:?}");
+                worst = worst.max(took);
+            }
+        }
+    }
+    println!("taken in after {worst:?} at the latest");
+}
+
+#[test]
+fn a_list_that_begins_late_or_comes_in_pieces_is_taken_in_all_the_same() {
+    let whole = ok(&news());
+    let (start, end) = whole.split_at(whole.len() / 2);
+    let pieces = Do::SayAndThen(start.into(), 800, end.into());
+    // An agent has what it tells, so it never begins late.
+    let pushed = Pace::of(true, Duration::from_secs(1));
+    let asking = Pace::ASKING;
+    for (pace, slow) in
+        [(asking, Do::SayLater(800, whole.clone())), (asking, pieces.clone()), (pushed, pieces)]
+    {
+        let took = told_after(pace, 1, std::slice::from_ref(&slow), 1);
+        assert!(took < TOLD, "{took:?}: {slow:?}");
+    }
+}
