Name connections, clients and their requests as the field does; no change of behaviour

Guest is ClientConnection, Front is Server, welcome is serve_connection, being asked to leave is eviction, Ticket is ParsedRequest, Fault of clients.rs is RequestError, enter is register; Link is Connection in connection.rs, stands and is_free are is_alive and is_reusable, REST is QUARANTINE, Breaks with trusts is StaleEstimator with allows_reuse.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -1,8 +1,8 @@
 //! The backends' side: where they listen, the connections to them, attempts and probes and how they end.
 
 use crate::clock::millis;
+use crate::connection::{Connection, Progress};
 use crate::discovery::List;
-use crate::link::{Link, Progress};
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
 use doorcourse_simhost::set_load;
@@ -27,7 +27,7 @@
 /// A connection that carried an answer is not used again for this long. Guards against bytes that a backend
 /// writes behind its answer, which would be taken for the answer to the next request, and against closes right
 /// behind it, which the next request would cross. Second answers were seen up to 5 ms late, such closes up to 25 ms.
-const REST: Duration = Duration::from_millis(25);
+const QUARANTINE: Duration = Duration::from_millis(25);
 /// Load figures above this say nothing.
 const LARGEST_LOAD: f64 = 1e6;
 /// Idle connections are looked after this often.
@@ -43,10 +43,10 @@
 const NEWEST: f64 = 0.1;
 /// Kept connections may break more often than new ones by this share of their requests; for requests that
 /// must not be repeated by less.
-const BREAKS_MOST: f64 = 0.05;
-const BREAKS_UNSAFE: f64 = 0.02;
+const STALE_MARGIN: f64 = 0.05;
+const STALE_MARGIN_UNSAFE: f64 = 0.02;
 /// By this share an age that is passed over is trusted more, so that it is tried again.
-const FORGETS: f64 = 0.02;
+const STALE_DECAY: f64 = 0.02;
 /// The word of a backend that never began with a request.
 const DECLINED: &str = "srv-declined";
 /// The load report that comes with answers.
@@ -101,7 +101,7 @@
     /// When it last answered anything.
     heard: Instant,
     /// Free connections, the one used last at the end, and since when.
-    idle: Vec<(Link, Instant)>,
+    idle: Vec<(Connection, Instant)>,
 }
 
 /// How often connections break under a request before anything comes back: new ones, and kept ones by how long
@@ -111,12 +111,12 @@
 /// connect anew, so new ones are the measure. It could hurt where a few of many backends forget early: then
 /// all pay with handshakes.
 #[derive(Default)]
-struct Breaks {
+struct StaleEstimator {
     new: f64,
     kept: [f64; AGES],
 }
 
-impl Breaks {
+impl StaleEstimator {
     fn age(idle: Duration) -> usize {
         let steps = idle.as_millis() / YOUNGEST.as_millis();
         steps.checked_ilog(AGE_STEP).map_or(0, |step| (step as usize + 1).min(AGES - 1))
@@ -128,11 +128,11 @@
     }
 
     /// Whether a connection that has been idle for so long is as good as a new one.
-    fn trusts(&mut self, idle: Duration, repeatable: bool) -> bool {
+    fn allows_reuse(&mut self, idle: Duration, repeatable: bool) -> bool {
         let share = &mut self.kept[Self::age(idle)];
-        let trusted = *share <= self.new + if repeatable { BREAKS_MOST } else { BREAKS_UNSAFE };
+        let trusted = *share <= self.new + if repeatable { STALE_MARGIN } else { STALE_MARGIN_UNSAFE };
         if !trusted {
-            *share *= 1.0 - FORGETS;
+            *share *= 1.0 - STALE_DECAY;
         }
         trusted
     }
@@ -155,7 +155,7 @@
     reports: Reports,
     most_open: usize,
     busy: Rc<Cell<usize>>,
-    breaks: RefCell<Breaks>,
+    stale: RefCell<StaleEstimator>,
 }
 
 impl Backends {
@@ -170,7 +170,7 @@
             reports,
             most_open,
             busy: Rc::default(),
-            breaks: RefCell::default(),
+            stale: RefCell::default(),
         })
     }
 
@@ -204,7 +204,9 @@
         loop {
             sleep(ROUND).await;
             for backend in self.known.borrow_mut().values_mut() {
-                backend.idle.retain(|(link, since)| since.elapsed() < self.longest_idle && link.stands());
+                backend.idle.retain(|(connection, since)| {
+                    since.elapsed() < self.longest_idle && connection.is_alive()
+                });
             }
         }
     }
@@ -273,14 +275,14 @@
         &self, name: &Name, repeatable: bool, build: impl Fn(SocketAddr) -> (Builder, Bytes),
     ) -> Result<(response::Parts, Bytes), Outcome> {
         loop {
-            let (dial, pooled) = self.free_link(name, repeatable).ok_or(Outcome::NeverSent)?;
+            let (dial, pooled) = self.free_connection(name, repeatable).ok_or(Outcome::NeverSent)?;
             let idle = pooled.as_ref().map(|(_, idle)| *idle);
             let _slot = self.slot().ok_or(Outcome::NeverSent)?;
-            let mut link = match pooled {
-                Some((link, _)) => link,
-                None => {
-                    Link::connect(dial, self.connect_timeout).await.map_err(|_| Outcome::ConnectFailed)?
-                }
+            let mut connection = match pooled {
+                Some((connection, _)) => connection,
+                None => Connection::connect(dial, self.connect_timeout)
+                    .await
+                    .map_err(|_| Outcome::ConnectFailed)?,
             };
             // Guards drains: while the connection came up the list may have changed.
             if self.dial(name) != Some(dial) {
@@ -288,13 +290,13 @@
             }
             let (builder, body) = build(dial);
             let request = builder.body(Full::new(body)).map_err(|_| Outcome::NeverSent)?;
-            let end = link.exchange(request, LARGEST_BODY, ANSWER).await;
+            let end = connection.exchange(request, LARGEST_BODY, ANSWER).await;
             let broke = matches!(end, Err(Progress::Whole | Progress::Partly));
-            self.breaks.borrow_mut().note(idle, broke);
+            self.stale.borrow_mut().note(idle, broke);
             match end {
                 Ok(answer) => {
-                    let link = link.is_free().await.then_some(link);
-                    self.answered(name, dial, link);
+                    let connection = connection.is_reusable().await.then_some(connection);
+                    self.answered(name, dial, connection);
                     return Ok(answer);
                 }
                 // Guards against a free connection that its backend closed just now: nothing was written,
@@ -314,20 +316,22 @@
         self.known.borrow().get(name).filter(|b| b.ready).map(|b| b.dial)
     }
 
-    /// A backend that may be sent something new, with a free connection that stands and may be trusted if there
+    /// A backend that may be sent something new, with a free connection that is alive and may be trusted if there
     /// is one, and for how long that was idle.
-    fn free_link(&self, name: &Name, repeatable: bool) -> Option<(SocketAddr, Option<(Link, Duration)>)> {
+    fn free_connection(
+        &self, name: &Name, repeatable: bool,
+    ) -> Option<(SocketAddr, Option<(Connection, Duration)>)> {
         let mut known = self.known.borrow_mut();
         let backend = known.get_mut(name).filter(|b| b.ready)?;
         // Those that still rest are at the end.
-        while let Some(at) = backend.idle.iter().rposition(|(_, since)| since.elapsed() >= REST) {
-            let (link, since) = backend.idle.remove(at);
+        while let Some(at) = backend.idle.iter().rposition(|(_, since)| since.elapsed() >= QUARANTINE) {
+            let (connection, since) = backend.idle.remove(at);
             // Guards unsafe requests: one written to a connection that is closed or about to be is lost in
             // doubt.
             let idle = since.elapsed();
-            let trusted = idle < self.longest_idle && link.stands();
-            if trusted && self.breaks.borrow_mut().trusts(idle, repeatable) {
-                return Some((backend.dial, Some((link, idle))));
+            let trusted = idle < self.longest_idle && connection.is_alive();
+            if trusted && self.stale.borrow_mut().allows_reuse(idle, repeatable) {
+                return Some((backend.dial, Some((connection, idle))));
             }
         }
         Some((backend.dial, None))
@@ -352,11 +356,13 @@
     }
 
     /// Notes that a backend answered, and keeps the connection if it is free again.
-    fn answered(&self, name: &Name, dial: SocketAddr, link: Option<Link>) {
+    fn answered(&self, name: &Name, dial: SocketAddr, connection: Option<Connection>) {
         let mut known = self.known.borrow_mut();
         if let Some(backend) = known.get_mut(name).filter(|b| b.dial == dial) {
             backend.heard = Instant::now();
-            backend.idle.extend(link.filter(|_| backend.ready).map(|link| (link, backend.heard)));
+            backend
+                .idle
+                .extend(connection.filter(|_| backend.ready).map(|connection| (connection, backend.heard)));
         }
     }
 
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -49,11 +49,11 @@
 /// ... and blocks go back to the quotas in this time behind it, in which what comes is taken still. What is taken
 /// later may be cut off with the process.
 const HAND_BACK: Duration = Duration::from_millis(200);
-/// Who is asked to leave is let go of after this.
+/// An idle connection that is evicted is let go of after this.
 const LAST_CALL: Duration = Duration::from_millis(50);
 /// After the last final answer connections have this long to be done with.
 const LAST_WORDS: Duration = Duration::from_millis(500);
-/// From this part of the most clients on, those who are idle are asked to leave for each that comes. Guards
+/// From this part of the most clients on, the idle ones are evicted, one for each that comes. Guards
 /// usual clients against a crowd that asks once and stays: clients, and whatever stands before the gateway, have
 /// an end to their connections too, so a connection kept open for nobody is one that others miss long before
 /// descriptors run out here. It could hurt usual clients that are many and ask seldom: they connect anew.
@@ -65,7 +65,7 @@
 
 /// A request that is not taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fault {
+enum RequestError {
     /// There is no such path.
     NoPath,
     /// Something in it is missing, malformed or absurd.
@@ -75,7 +75,7 @@
 }
 
 /// What a request says of itself.
-struct Ticket {
+struct ParsedRequest {
     class: Name,
     plan: Name,
     customer: Name,
@@ -87,45 +87,45 @@
     message: Message,
 }
 
-/// The front side of one gateway.
-pub struct Front {
+/// The server side of one gateway.
+pub struct Server {
     engine: Rc<Engine>,
     classes: Vec<(Name, Effect)>,
     plans: Vec<Name>,
     most_units: f64,
     gateways: u32,
     /// The ids of all requests without an answer.
-    ids: RefCell<HashSet<HeaderValue>>,
+    in_flight: RefCell<HashSet<HeaderValue>>,
     most_clients: usize,
-    guests: RefCell<Vec<Rc<Guest>>>,
+    connections: RefCell<Vec<Rc<ClientConnection>>>,
     left: Notify,
     draining: Cell<bool>,
 }
 
 /// One client's connection.
-struct Guest {
+struct ClientConnection {
     /// A request that was taken whole has no answer yet.
     busy: Cell<bool>,
     /// When it came, was last answered or began to ask.
     since: Cell<Instant>,
     answered: Cell<bool>,
-    asked_to_leave: Cell<bool>,
+    evicted: Cell<bool>,
     /// What came since, up to the end of a head.
     head: RefCell<Vec<u8>>,
-    leave: Notify,
+    evict: Notify,
     socket: Socket,
 }
 
-impl Guest {
+impl ClientConnection {
     fn new(socket: Socket) -> Self {
         Self {
             socket,
             busy: Cell::new(false),
             since: Cell::new(Instant::now()),
             answered: Cell::new(false),
-            asked_to_leave: Cell::new(false),
+            evicted: Cell::new(false),
             head: RefCell::default(),
-            leave: Notify::new(),
+            evict: Notify::new(),
         }
     }
 
@@ -185,7 +185,7 @@
 /// A client's socket as the HTTP library sees it.
 struct Tap {
     socket: Socket,
-    guest: Rc<Guest>,
+    client: Rc<ClientConnection>,
 }
 
 impl AsyncRead for Tap {
@@ -194,7 +194,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
-        self.guest.note(&buf.filled()[before..]);
+        self.client.note(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
 }
@@ -223,8 +223,8 @@
     }
 }
 
-impl Front {
-    /// A front side that takes at most `most_clients` connections at once.
+impl Server {
+    /// A server side that takes at most `most_clients` connections at once.
     pub fn new(engine: Rc<Engine>, settings: &Settings, most_clients: usize) -> Rc<Self> {
         Rc::new(Self {
             engine,
@@ -232,9 +232,9 @@
             plans: settings.plans.iter().map(|p| p.name.clone()).collect(),
             most_units: settings.most_units,
             gateways: settings.gateways,
-            ids: RefCell::default(),
+            in_flight: RefCell::default(),
             most_clients,
-            guests: RefCell::default(),
+            connections: RefCell::default(),
             left: Notify::new(),
             draining: Cell::new(false),
         })
@@ -258,19 +258,19 @@
         loop {
             tokio::select! {
                 () = ended.as_mut() => break,
-                stream = self.accept(&listener) => self.clone().welcome(stream, closing.clone()),
+                stream = self.accept(&listener) => self.clone().serve_connection(stream, closing.clone()),
             }
         }
         // What the machine has accepted for us already is ours to answer.
         while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
-            self.clone().welcome(stream, closing.clone());
+            self.clone().serve_connection(stream, closing.clone());
         }
         drop(listener);
         close.send_modify(|round| *round += 1);
         // Guards the end against clients that stop half-way: once nothing that was taken waits for its answer,
         // the last answers and the last bodies have this long.
         let mut quiet = Instant::now();
-        while !self.guests.borrow().is_empty() && quiet.elapsed() < LAST_WORDS {
+        while !self.connections.borrow().is_empty() && quiet.elapsed() < LAST_WORDS {
             let _ = timeout(LAST_WORDS / 10, self.left.notified()).await;
             if self.engine.waiting() > 0 {
                 quiet = Instant::now();
@@ -279,21 +279,23 @@
     }
 
     fn is_full(&self) -> bool {
-        self.guests.borrow().len() >= self.most_clients
+        self.connections.borrow().len() >= self.most_clients
     }
 
-    fn ask_idle_to_leave(&self) {
-        let (guests, now) = (self.guests.borrow(), Instant::now());
+    fn evict_idle(&self) {
+        let (connections, now) = (self.connections.borrow(), Instant::now());
         // Those first who said they would ask and didn't, last those who just came.
-        let rank = |g: &Rc<Guest>| match (g.answered.get(), now.duration_since(g.since.get()) < NEWCOMER) {
-            (false, false) => 0,
-            (true, _) => 1,
-            (false, true) => 2,
-        };
-        let asleep = guests.iter().filter(|g| !g.busy.get() && !g.asked_to_leave.get());
-        if let Some(guest) = asleep.min_by_key(|g| (rank(g), g.since.get())) {
-            guest.asked_to_leave.set(true);
-            guest.leave.notify_one();
+        let rank =
+            |c: &Rc<ClientConnection>| match (c.answered.get(), now.duration_since(c.since.get()) < NEWCOMER)
+            {
+                (false, false) => 0,
+                (true, _) => 1,
+                (false, true) => 2,
+            };
+        let asleep = connections.iter().filter(|c| !c.busy.get() && !c.evicted.get());
+        if let Some(client) = asleep.min_by_key(|c| (rank(c), c.since.get())) {
+            client.evicted.set(true);
+            client.evict.notify_one();
         }
     }
 
@@ -301,12 +303,12 @@
         loop {
             // Guards the descriptors: who finds no room waits in the machine's line, and guards those who wait
             // there against clients that keep a connection and say nothing.
-            if self.guests.borrow().len() >= self.most_clients / CROWDED_PART {
-                self.ask_idle_to_leave();
+            if self.connections.borrow().len() >= self.most_clients / CROWDED_PART {
+                self.evict_idle();
             }
             while self.is_full() {
                 self.left.notified().await;
-                self.ask_idle_to_leave();
+                self.evict_idle();
             }
             match listener.accept().await {
                 Ok((stream, _)) => return stream,
@@ -315,32 +317,32 @@
         }
     }
 
-    fn welcome(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
+    fn serve_connection(self: Rc<Self>, stream: TcpStream, mut closing: watch::Receiver<u32>) {
         let _ = stream.set_nodelay(true);
         let socket = Socket(Rc::new(stream));
-        let guest = Rc::new(Guest::new(socket.clone()));
-        self.guests.borrow_mut().push(guest.clone());
+        let client = Rc::new(ClientConnection::new(socket.clone()));
+        self.connections.borrow_mut().push(client.clone());
         let round = *closing.borrow();
         crate::backends::spawn(async move {
             let service = service_fn(|request| {
-                let (front, guest) = (self.clone(), guest.clone());
+                let (server, client) = (self.clone(), client.clone());
                 async move {
-                    let response = front.answer(request, &guest).await;
-                    guest.done();
+                    let response = server.answer(request, &client).await;
+                    client.done();
                     Ok::<_, Infallible>(response)
                 }
             });
             let connection = http1::Builder::new()
                 .header_read_timeout(None)
                 .max_buf_size(BUFFER)
-                .serve_connection(TokioIo::new(Tap { socket, guest: guest.clone() }), service);
+                .serve_connection(TokioIo::new(Tap { socket, client: client.clone() }), service);
             let mut connection = pin!(connection);
             // Lets go of what `wait_for` hands out: it locks the channel, and the next round would wait for
             // it on this one thread for ever.
             let mut closing = pin!(async { drop(closing.wait_for(|now| *now > round).await) });
             let mut over = pin!(async {
-                while Instant::now() < guest.due() {
-                    sleep_until(guest.due()).await;
+                while Instant::now() < client.due() {
+                    sleep_until(client.due()).await;
                 }
             });
             tokio::select! {
@@ -350,8 +352,8 @@
                 () = closing.as_mut() => {
                     // Guards first requests on their way: who connects has one to send, and it is not sent
                     // again when its connection closes without an answer.
-                    let last_chance = guest.since.get() + LINGER;
-                    let done = guest.is_silent() && timeout_at(last_chance, connection.as_mut()).await.is_ok();
+                    let last_chance = client.since.get() + LINGER;
+                    let done = client.is_silent() && timeout_at(last_chance, connection.as_mut()).await.is_ok();
                     if !done {
                         connection.as_mut().graceful_shutdown();
                         tokio::select! {
@@ -361,45 +363,45 @@
                         }
                     }
                 }
-                () = guest.leave.notified() => {
+                () = client.evict.notified() => {
                     connection.as_mut().graceful_shutdown();
                     // A request that came just now is answered still.
                     let over = timeout(LAST_CALL, connection.as_mut()).await.is_ok();
-                    if !over && guest.busy.get() {
+                    if !over && client.busy.get() {
                         let _ = connection.await;
                     }
                 }
             }
-            self.guests.borrow_mut().retain(|g| !Rc::ptr_eq(g, &guest));
+            self.connections.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
             self.left.notify_one();
         });
     }
 
     /// The one answer to a request.
-    async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, client: &ClientConnection) -> Response<Full<Bytes>> {
         let mut last = request.headers().contains_key(TRANSFER_ENCODING);
         let mut response = if request.uri().path() == "/up" {
             self.up(request.method())
         } else {
-            let taken = self.take(request, guest).await;
-            match taken.and_then(|ticket| Ok((self.enter(ticket.message.id.clone())?, ticket))) {
-                Ok((_entry, ticket)) => {
-                    guest.busy.set(true);
+            let taken = self.take(request, client).await;
+            match taken.and_then(|parsed| Ok((self.register(parsed.message.id.clone())?, parsed))) {
+                Ok((_in_flight, parsed)) => {
+                    client.busy.set(true);
                     // Guards backends against requests of those who are gone. The HTTP library sees an end only
                     // while nothing stands before it: bytes that a client sent behind its request hide it.
                     tokio::select! {
                         biased;
-                        () = guest.socket.left() => {
+                        () = client.socket.left() => {
                             last = true;
                             plain(StatusCode::BAD_REQUEST, "the client left\n")
                         }
-                        response = self.decide(ticket) => response,
+                        response = self.decide(parsed) => response,
                     }
                 }
-                Err(fault) => {
+                Err(error) => {
                     // Who asked wrongly may have meant something else with the bytes that follow.
                     last = true;
-                    refuse(fault)
+                    refuse(error)
                 }
             }
         };
@@ -417,51 +419,57 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "ending\n")
             }
             Method::GET | Method::HEAD => plain(StatusCode::OK, "up\n"),
-            _ => refuse(Fault::Bad("method")),
+            _ => refuse(RequestError::Bad("method")),
         }
     }
 
     /// Notes that a request is open. Guards its answer against others that bear its id.
-    fn enter(&self, id: HeaderValue) -> Result<Entry<'_>, Fault> {
-        let new = self.ids.borrow_mut().insert(id.clone());
-        if new { Ok(Entry { ids: &self.ids, id }) } else { Err(Fault::Bad("Req-Id, open already")) }
+    fn register(&self, id: HeaderValue) -> Result<InFlightId<'_>, RequestError> {
+        let new = self.in_flight.borrow_mut().insert(id.clone());
+        if new {
+            Ok(InFlightId { in_flight: &self.in_flight, id })
+        } else {
+            Err(RequestError::Bad("Req-Id, open already"))
+        }
     }
 
     /// Reads a request whole.
-    async fn take(&self, request: Request<Incoming>, guest: &Guest) -> Result<Ticket, Fault> {
+    async fn take(
+        &self, request: Request<Incoming>, client: &ClientConnection,
+    ) -> Result<ParsedRequest, RequestError> {
         // Guards against requests hidden in the body of another.
-        if request.headers().contains_key(TRANSFER_ENCODING) && !guest.is_plainly_chunked(&request) {
-            return Err(Fault::Bad("Transfer-Encoding"));
+        if request.headers().contains_key(TRANSFER_ENCODING) && !client.is_plainly_chunked(&request) {
+            return Err(RequestError::Bad("Transfer-Encoding"));
         }
         let (head, body) = request.into_parts();
-        let target = head.uri.path_and_query().ok_or(Fault::NoPath)?.clone();
-        let mut ticket = self.read(head.method, target, &head.headers)?;
+        let target = head.uri.path_and_query().ok_or(RequestError::NoPath)?.clone();
+        let mut parsed = self.read(head.method, target, &head.headers)?;
         if body.is_end_stream() {
-            return Ok(ticket);
+            return Ok(parsed);
         }
-        if ticket.message.method == Method::GET {
-            return Err(Fault::Bad("a body where none belongs"));
+        if parsed.message.method == Method::GET {
+            return Err(RequestError::Bad("a body where none belongs"));
         }
         if body.size_hint().lower() > LARGEST_BODY as u64 {
-            return Err(Fault::TooLarge);
+            return Err(RequestError::TooLarge);
         }
         // The connection's own time bounds this: it is closed when that is over.
         match Limited::new(body, LARGEST_BODY).collect().await {
-            Ok(body) => ticket.message.body = body.to_bytes(),
-            Err(error) if error.is::<LengthLimitError>() => return Err(Fault::TooLarge),
-            Err(_) => return Err(Fault::Bad("body")),
+            Ok(body) => parsed.message.body = body.to_bytes(),
+            Err(error) if error.is::<LengthLimitError>() => return Err(RequestError::TooLarge),
+            Err(_) => return Err(RequestError::Bad("body")),
         }
-        Ok(ticket)
+        Ok(parsed)
     }
 
     fn read(
         &self, method: Method, target: hyper::http::uri::PathAndQuery, headers: &HeaderMap,
-    ) -> Result<Ticket, Fault> {
+    ) -> Result<ParsedRequest, RequestError> {
         let first = target.path().strip_prefix('/').and_then(|p| p.split('/').next());
-        let class = first.filter(|c| !c.is_empty()).ok_or(Fault::NoPath)?;
+        let class = first.filter(|c| !c.is_empty()).ok_or(RequestError::NoPath)?;
         // Settings may give names that a path carries only percent-encoded.
         let class = self.classes.iter().find(|(name, _)| percent_decode_str(class).eq(name.bytes()));
-        let (class, effect) = class.cloned().ok_or(Fault::Bad("class"))?;
+        let (class, effect) = class.cloned().ok_or(RequestError::Bad("class"))?;
         let key = single(headers, "idempotency-key")?;
         let fits = match effect {
             Effect::Safe => method == Method::GET && key.is_none(),
@@ -469,33 +477,35 @@
             Effect::Unsafe => method == Method::POST && key.is_none(),
         };
         if !fits {
-            return Err(Fault::Bad("method or Idempotency-Key, for this class"));
+            return Err(RequestError::Bad("method or Idempotency-Key, for this class"));
         }
-        let id = single(headers, "req-id")?.filter(|id| is_id(id.as_bytes())).ok_or(Fault::Bad("Req-Id"))?;
-        let plan = single(headers, "api-plan")?.ok_or(Fault::Bad("Api-Plan"))?;
+        let id = single(headers, "req-id")?
+            .filter(|id| is_id(id.as_bytes()))
+            .ok_or(RequestError::Bad("Req-Id"))?;
+        let plan = single(headers, "api-plan")?.ok_or(RequestError::Bad("Api-Plan"))?;
         let plan = self.plans.iter().find(|p| p.as_bytes() == plan.as_bytes());
-        let plan = plan.ok_or(Fault::Bad("Api-Plan"))?.clone();
+        let plan = plan.ok_or(RequestError::Bad("Api-Plan"))?.clone();
         let customer = text(headers, "api-customer")?
             .filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))
             .filter(|c| u64::from_str_radix(c, 16).is_ok_and(|n| n < 1 << 33))
-            .ok_or(Fault::Bad("Api-Customer"))?;
+            .ok_or(RequestError::Bad("Api-Customer"))?;
         // One customer, one name: its quota does not double with the case of its digits.
         let customer = Name::from(customer.to_ascii_lowercase());
         let patience = text(headers, "req-deadline-ms")?
             .and_then(number)
             .filter(|ms| (1..=LONGEST_PATIENCE).contains(ms))
-            .ok_or(Fault::Bad("Req-Deadline-Ms"))?;
+            .ok_or(RequestError::Bad("Req-Deadline-Ms"))?;
         let patience = Duration::from_millis(patience);
         let repeat = match text(headers, "req-retry")? {
             None | Some("0") => false,
             Some("1") => true,
-            Some(_) => return Err(Fault::Bad("Req-Retry")),
+            Some(_) => return Err(RequestError::Bad("Req-Retry")),
         };
-        let terms = text(headers, "api-terms")?.ok_or(Fault::Bad("Api-Terms"))?;
-        let (units, spread, first) = self.terms(terms).ok_or(Fault::Bad("Api-Terms"))?;
+        let terms = text(headers, "api-terms")?.ok_or(RequestError::Bad("Api-Terms"))?;
+        let (units, spread, first) = self.terms(terms).ok_or(RequestError::Bad("Api-Terms"))?;
         let (kind, key) = (headers.get(CONTENT_TYPE).cloned(), key.cloned());
         let message = Message { method, target, id: id.clone(), key, kind, body: Bytes::new() };
-        Ok(Ticket { class, plan, customer, units, spread, first, repeat, patience, message })
+        Ok(ParsedRequest { class, plan, customer, units, spread, first, repeat, patience, message })
     }
 
     /// Reads `units=2,spread=3,first=1`; a request of no said units is one unit.
@@ -515,8 +525,8 @@
         (units > 0.0 && units <= most).then_some((units, spread, first.filter(|f| *f < self.gateways)?))
     }
 
-    async fn decide(&self, ticket: Ticket) -> Response<Full<Bytes>> {
-        let Ticket { class, plan, customer, units, spread, first, repeat, patience, message } = ticket;
+    async fn decide(&self, parsed: ParsedRequest) -> Response<Full<Bytes>> {
+        let ParsedRequest { class, plan, customer, units, spread, first, repeat, patience, message } = parsed;
         let margin = MARGIN.min(patience.mul_f64(MARGIN_SHARE));
         let (patience, now) = (patience - margin, Instant::now());
         let patience_ms = millis(patience);
@@ -564,14 +574,14 @@
 }
 
 /// Keeps an id among those of open requests.
-struct Entry<'a> {
-    ids: &'a RefCell<HashSet<HeaderValue>>,
+struct InFlightId<'a> {
+    in_flight: &'a RefCell<HashSet<HeaderValue>>,
     id: HeaderValue,
 }
 
-impl Drop for Entry<'_> {
+impl Drop for InFlightId<'_> {
     fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
+        self.in_flight.borrow_mut().remove(&self.id);
     }
 }
 
@@ -581,25 +591,25 @@
 }
 
 /// The only value of a header; a header given twice may be read differently by others.
-fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a HeaderValue>, Fault> {
+fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a HeaderValue>, RequestError> {
     let mut values = headers.get_all(name).iter();
     let value = values.next();
-    if values.next().is_some() { Err(Fault::Bad(name)) } else { Ok(value) }
+    if values.next().is_some() { Err(RequestError::Bad(name)) } else { Ok(value) }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Fault> {
-    single(headers, name)?.map(|value| value.to_str().map_err(|_| Fault::Bad(name))).transpose()
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, RequestError> {
+    single(headers, name)?.map(|value| value.to_str().map_err(|_| RequestError::Bad(name))).transpose()
 }
 
 fn is_id(text: &[u8]) -> bool {
     (1..=64).contains(&text.len()) && text.iter().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(b))
 }
 
-fn refuse(fault: Fault) -> Response<Full<Bytes>> {
-    match fault {
-        Fault::NoPath => plain(StatusCode::NOT_FOUND, "no such path\n"),
-        Fault::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
-        Fault::Bad(what) => {
+fn refuse(error: RequestError) -> Response<Full<Bytes>> {
+    match error {
+        RequestError::NoPath => plain(StatusCode::NOT_FOUND, "no such path\n"),
+        RequestError::TooLarge => plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
+        RequestError::Bad(what) => {
             let mut response = plain(StatusCode::BAD_REQUEST, "");
             *response.body_mut() = Full::from(format!("unusable: {what}\n"));
             response
--- a/gateway/src/link.rs
+++ b/gateway/src/connection.rs
@@ -107,7 +107,7 @@
 }
 
 /// One connection.
-pub struct Link {
+pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     /// Gone once it has ended.
     driver: Driver,
@@ -115,7 +115,7 @@
     trace: Rc<Trace>,
 }
 
-impl Link {
+impl Connection {
     /// Connects.
     ///
     /// # Errors
@@ -131,9 +131,9 @@
         Ok(Self { sender, driver: Some(Box::pin(driver)), stream, trace })
     }
 
-    /// Whether the idle connection still stands, by the kernel's newest word: asks the socket itself, since
+    /// Whether the idle connection is alive, by the kernel's newest word: asks the socket itself, since
     /// what the event loop has heard so far may be old. Data that nobody asked for is a fault too.
-    pub fn stands(&self) -> bool {
+    pub fn is_alive(&self) -> bool {
         let peeked = socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
         self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
@@ -172,7 +172,7 @@
     }
 
     /// Whether the connection can carry another request now.
-    pub async fn is_free(&mut self) -> bool {
+    pub async fn is_reusable(&mut self) -> bool {
         let (driver, sender) = (&mut self.driver, &mut self.sender);
         poll_fn(|cx| {
             poll_driver(driver, cx);
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -2,8 +2,8 @@
 
 use crate::backends::Backends;
 use crate::backoff::{CONNECT_TIMEOUT, Failure, Pace, Retry};
+use crate::connection::{Connection, Progress};
 use crate::engine::Engine;
-use crate::link::{Link, Progress};
 use bytes::Bytes;
 use doorcourse::{BackendEntry, BackendState, Event};
 use http_body_util::Full;
@@ -201,8 +201,10 @@
 ) {
     let mut retry = Retry::new(pace);
     loop {
-        let fault = match Link::connect(address, CONNECT_TIMEOUT).await {
-            Ok(mut link) => calls(&mut link, address, &mut seq, pace, &mut retry, backends, engine).await,
+        let fault = match Connection::connect(address, CONNECT_TIMEOUT).await {
+            Ok(mut connection) => {
+                calls(&mut connection, address, &mut seq, pace, &mut retry, backends, engine).await
+            }
             Err(_) => Fault::Lost("no connection"),
         };
         if !std::mem::replace(&mut told[fault.kind()], true) {
@@ -214,7 +216,7 @@
 
 /// One call after another on one connection, until something is wrong with it; tells what.
 async fn calls(
-    link: &mut Link, address: SocketAddr, seq: &mut Option<u64>, pace: Pace, retry: &mut Retry,
+    connection: &mut Connection, address: SocketAddr, seq: &mut Option<u64>, pace: Pace, retry: &mut Retry,
     backends: &Backends, engine: &Engine,
 ) -> Fault {
     // The first call does not wait: it shows at once whether there is anyone, and brings what was missed.
@@ -227,7 +229,7 @@
         let request = Request::get(uri).header("Host", address.to_string()).body(Full::<Bytes>::default());
         let Ok(request) = request else { return Fault::Lost("the call cannot be written") };
         let (begun, whole) = (Instant::now(), retry.whole());
-        let answer = timeout(retry.limit(wait), link.exchange(request, LONGEST, whole)).await;
+        let answer = timeout(retry.limit(wait), connection.exchange(request, LONGEST, whole)).await;
         let list = match answer {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => List::parse(&body),
             Ok(Ok((head, _))) => return Fault::TurnedAway(head.status),
@@ -244,7 +246,7 @@
             }
             Err(error) => return Fault::Unreadable(error.to_string()),
         }
-        if !link.is_free().await {
+        if !connection.is_reusable().await {
             return Fault::Lost("the connection was closed");
         }
     }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use fennelscale::backends::{Backends, spawn};
-use fennelscale::clients::Front;
+use fennelscale::clients::Server;
 use fennelscale::config::Config;
 use fennelscale::discovery;
 use fennelscale::engine::Engine;
@@ -61,7 +61,7 @@
         Ok(engine) => engine,
         Err(error) => return unusable(&error),
     };
-    let front = Front::new(engine.clone(), &settings, most_clients);
+    let server = Server::new(engine.clone(), &settings, most_clients);
     let seq = config.known.seq;
     discovery::tell(config.known, &backends, &engine);
     spawn(backends.clone().keep_tidy());
@@ -77,7 +77,7 @@
             _ = interrupt.recv() => {}
         }
     };
-    front.serve(listener, end).await;
+    server.serve(listener, end).await;
     ExitCode::SUCCESS
 }
 
--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -2,7 +2,7 @@
 
 mod helper;
 
-use fennelscale::link::{Link, Progress};
+use fennelscale::connection::{Connection, Progress};
 use helper::{Backend, Do, Gateway, Mood, Setup, World, list, ok, pause, request, row};
 use http_body_util::Full;
 use std::net::SocketAddr;
@@ -194,7 +194,7 @@
     let at = listener.local_addr().expect("an address");
     // Larger than any socket buffer, to a peer that reads little of it and closes: not written whole.
     for (size, heard, progress) in [(64 << 20, 10, Progress::Partly), (10, 40, Progress::Whole)] {
-        let mut link = Link::connect(at, Duration::from_secs(60)).await.expect("a connection");
+        let mut connection = Connection::connect(at, Duration::from_secs(60)).await.expect("a connection");
         let (mut peer, _) = listener.accept().await.expect("a connection");
         let request = hyper::Request::post("/x").body(Full::from(vec![b'x'; size])).expect("a request");
         let close = async move {
@@ -202,9 +202,9 @@
             peer.read_exact(&mut bytes).await.expect("bytes");
             pause(100).await;
         };
-        let (end, ()) = tokio::join!(link.exchange(request, 100, helper::LONG), close);
+        let (end, ()) = tokio::join!(connection.exchange(request, 100, helper::LONG), close);
         assert_eq!(end.expect_err("a broken connection"), progress);
-        assert!(!link.stands());
+        assert!(!connection.is_alive());
     }
 }
 
