--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -57,6 +57,21 @@
     BackendEntry { name: name.into(), zone: "z1".into(), cell, state, started }
 }
 
+/// Chance from a seed.
+pub struct Random(pub u64);
+
+impl Random {
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % n
+    }
+
+    /// A number in [0, 1).
+    pub fn share(&mut self) -> f64 {
+        self.below(1 << 30) as f64 / f64::from(1u32 << 30)
+    }
+}
+
 /// A gateway, its clock and what it did at the last event.
 pub struct Door {
     pub gateway: Gateway,
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -6,15 +6,6 @@
 use helper::*;
 use std::collections::BTreeMap;
 
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % n
-    }
-}
-
 /// What the test itself knows of a request.
 struct Known {
     class: usize,
