--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use doorcourse::*;
+use std::collections::BTreeMap;
 
 /// One safe, one keyed and one unsafe class; a small plan, one under a ceiling and one with an open cap.
 pub fn settings() -> Settings {
@@ -72,6 +73,28 @@
     }
 }
 
+/// What is to happen, by time; what comes at one time comes in the order it was planned in.
+pub struct Agenda<T> {
+    steps: BTreeMap<(u64, u64), T>,
+    order: u64,
+}
+
+impl<T> Agenda<T> {
+    pub fn new() -> Self {
+        Self { steps: BTreeMap::new(), order: 0 }
+    }
+
+    /// Plans a step, to the microsecond and never early.
+    pub fn at(&mut self, when: Millis, step: T) {
+        self.order += 1;
+        self.steps.insert(((when * 1000.0).ceil() as u64, self.order), step);
+    }
+
+    pub fn next(&mut self) -> Option<(Millis, T)> {
+        self.steps.pop_first().map(|((at, _), step)| (at as f64 / 1000.0, step))
+    }
+}
+
 /// A gateway, its clock and what it did at the last event.
 pub struct Door {
     pub gateway: Gateway,
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -71,8 +71,7 @@
     settings: Settings,
     random: Random,
     gateways: Vec<Gateway>,
-    agenda: BTreeMap<(u64, u64), Step>,
-    order: u64,
+    agenda: Agenda<Step>,
     now: Millis,
     totals: BTreeMap<u64, f64>,
     attempts: BTreeMap<RequestId, u32>,
@@ -109,8 +108,7 @@
             held: vec![0; gateways.len()],
             due: vec![false; gateways.len()],
             gateways,
-            agenda: BTreeMap::new(),
-            order: 0,
+            agenda: Agenda::new(),
             now: 0.0,
             totals: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -119,11 +117,6 @@
         }
     }
 
-    fn at(&mut self, when: Millis, step: Step) {
-        self.order += 1;
-        self.agenda.insert(((when * 1000.0).ceil() as u64, self.order), step);
-    }
-
     /// Lists, the cold start as each gateway hears it, and all requests, drawn ahead.
     fn plan(&mut self) {
         let case = self.case;
@@ -131,9 +124,9 @@
         let before = if case.back { &names[..] } else { &names[..warm] };
         for gateway in 0..self.gateways.len() {
             let list = before.iter().map(|name| backend(name, BackendState::Ready, None)).collect();
-            self.at(0.0, Step::Tell(gateway, Event::BackendList(list)));
+            self.agenda.at(0.0, Step::Tell(gateway, Event::BackendList(list)));
             let late = self.random.share() * case.heard;
-            self.at(START + late, Step::Started(gateway));
+            self.agenda.at(START + late, Step::Started(gateway));
         }
         let weights: Vec<f64> = (0..self.gateways.len())
             .map(|n| match case.traffic {
@@ -165,17 +158,14 @@
                 first: gateway as u32,
                 spread: 1,
             };
-            self.at(when, Step::Tell(gateway, Event::Request(arrival)));
+            self.agenda.at(when, Step::Tell(gateway, Event::Request(arrival)));
         }
     }
 
     fn play(&mut self) {
         self.plan();
-        while let Some(((at, _), step)) = self.agenda.pop_first() {
-            self.now = at as f64 / 1000.0;
-            if self.now > END {
-                break;
-            }
+        while let Some((now, step)) = self.agenda.next().filter(|(now, _)| *now <= END) {
+            self.now = now;
             match step {
                 Step::Tell(gateway, Event::Timer { token: 1 }) if self.held[gateway] == 0 => {
                     self.due[gateway] = true;
@@ -212,7 +202,7 @@
     fn act(&mut self, gateway: usize, action: Action) {
         match action {
             Action::SetTimer { after, token } => {
-                self.at(self.now + after, Step::Tell(gateway, Event::Timer { token }));
+                self.agenda.at(self.now + after, Step::Tell(gateway, Event::Timer { token }));
             }
             Action::Count { name, amount, .. } => {
                 let (outcome, latency) = if self.case.counter {
@@ -223,7 +213,7 @@
                     (CountOutcome::Unknown, 50.0)
                 };
                 let counted = Event::Counted { name, outcome, latency };
-                self.at(self.now + latency, Step::Tell(gateway, counted));
+                self.agenda.at(self.now + latency, Step::Tell(gateway, counted));
             }
             Action::Send { id, backend, .. } => {
                 self.held[gateway] -= 1;
@@ -246,7 +236,7 @@
         let finished = outcome == Outcome::Served;
         let end =
             AttemptEnd { id, attempt, backend, outcome, latency, true_units: None, finished, load: None };
-        self.at(self.now + latency, Step::Tell(gateway, Event::AttemptEnded(end)));
+        self.agenda.at(self.now + latency, Step::Tell(gateway, Event::AttemptEnded(end)));
     }
 
     /// The worst window of all cold servers, as a ratio to its budget. A window of which a third or more came
