--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -96,18 +96,20 @@
     door.tell(Event::ClientLeft { id: 8 });
     assert!(refused(&door.ask(5, "c", "no such plan", "safe"), 5));
     assert!(refused(&door.ask(6, "c", "plain", "no such class"), 6));
-    let did = door.tell(Event::Request(Arrival {
-        id: 7,
-        customer: "c".into(),
-        plan: "plain".into(),
-        class: "safe".into(),
-        units: f64::NAN,
-        repeat: false,
-        patience: -5.0,
-        first: 99,
-        spread: 0,
-    }));
-    assert!(count(&did).is_some());
+    for (id, spread) in [(7, 0), (8, u32::MAX)] {
+        let did = door.tell(Event::Request(Arrival {
+            id,
+            customer: format!("c{id}").as_str().into(),
+            plan: "plain".into(),
+            class: "safe".into(),
+            units: f64::NAN,
+            repeat: false,
+            patience: -5.0,
+            first: 99,
+            spread,
+        }));
+        assert!(count(&did).is_some());
+    }
 }
 
 #[test]
