Give each of many gateways a deterministic subset of backends, and choose by index

And each gateway's own backends were drawn by hash, each on its own: in a model of 300 gateways and 200 backends some were nobody's and some 16 gateways', so that load differed by 0.43 of its mean between backends when all gateways had like traffic. Change: `src/subset.rs`: rendezvous hashing with bounded loads in 8 groups of gateways, a ring for each zone; each backend is in as many subsets as any other, and a change touches its own bins and those it is passed on to. `src/members.rs` keeps the table in slots, `src/backend.rs` what one backend has shown. A request looks at 8 of a subset at most; where none is left those that stand by are tried, and a keyed repeat looks at its cell or zone. A cold backend gets its odds from the gateways whose own it is: `tests/ramp.rs` counts 0.94 of the budget at the worst, as before. A fleet of 17 gateways or fewer works with all backends as before.

--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -11,7 +11,8 @@
     Name, Outcome, Plan, Reports, Settings, SettingsError,
 };
 use fennelscale::backends::Backends;
-use fennelscale::discovery::{List, ListError, Pace, watch};
+use fennelscale::backoff::Pace;
+use fennelscale::discovery::{List, ListError, watch};
 use fennelscale::engine::Engine;
 use serde::Serialize;
 use std::collections::HashMap;
--- a/src/demand.rs
+++ b/src/demand.rs
@@ -7,8 +7,8 @@
 
 use crate::interface::Millis;
 
-/// A window lasts so many turns, in which old demand fades to nothing, and the weights still leave a total, exact
-/// to seven digits, sharp to a thousandth of a unit.
+/// A window lasts so many turns, in which old demand fades to nothing, and the weights still leave a total,
+/// exact to seven digits, sharp to a thousandth of a unit.
 const WINDOW_TURNS: f64 = 8.0;
 
 /// How long a window of a thin customer's count lasts; no count is kept for longer than `most`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,11 +38,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod backend;
 mod check;
 mod demand;
 mod hash;
 mod interface;
 mod logic;
+mod members;
+mod subset;
 
 pub use interface::*;
 pub use logic::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,12 +1,15 @@
 //! All decisions of a gateway. Its interface (settings, events, actions) is in `src/interface.rs`.
 //!
 //! A request passes three gates: its customer's quota (`Customer`, a lease cache on a shared window count),
-//! its open cap, and a backend with room (`Backend`). What cannot pass yet waits a share of its aim.
+//! its open cap, and a backend with room (`crate::backend`). What cannot pass yet waits a share of its aim.
 
+use crate::backend::{EJECT_TOLD, ROOM_FIRST, ROOM_LATE, ROOM_LEAST, room};
 use crate::check::check;
 use crate::demand::{faded, share_let_in, weight, window_length};
 use crate::hash::{hash, mix, unit};
 use crate::interface::*;
+use crate::members::Members;
+use crate::subset::Slot;
 use std::collections::{BTreeMap, VecDeque};
 
 // ---- Quotas (a turn is burst over rate: the time in which a quota turns over once) ----
@@ -67,16 +70,8 @@
 const USUAL_WEIGHT: f64 = 0.02;
 /// A failure is a late answer if it took this many times the usual latency.
 const LATE_LATENCIES: f64 = 4.0;
-/// What all gateways together keep out at one backend at first; it then follows the latencies seen.
-const ROOM_FIRST: f64 = 3.5;
 /// Answers should come within this share of the aim; the rest is for the way, for holding, for bad luck.
 const ROOM_SHARE: f64 = 0.6;
-/// The share of answers that may come later than that: fewer and room grows, more and it shrinks.
-const ROOM_LATE: f64 = 0.1;
-/// By how much one answer moves room: a late one by nine tenths of this, one in time by a tenth.
-const ROOM_STEP: f64 = 0.12;
-/// The least room at one backend for one gateway: the sum over all backends still binds.
-const ROOM_LEAST: f64 = 0.2;
 /// The share of fresh requests taken moves as room does, by this: it sinks until few answers are late,
 /// however many that turns away. Each one turned away raises it a little, or nobody would ask again.
 const TAKE_STEP: f64 = 0.2;
@@ -84,17 +79,12 @@
 const TAKE_AGAIN: f64 = 0.01;
 /// What is let in without a word of its customer is worth this many times less: some of it is beyond quotas.
 const BLIND_RANK: f64 = 2.0;
-/// A backend that failed is tried again after this share of the cold time for each failure in a row ...
-const EJECT_SHARE: f64 = 0.02;
-/// ... and the log tells of it at this many.
-const EJECT_TOLD: u32 = 2;
-/// So many connections in a row may break under a request before that says something of the backend.
-const BREAKS_FREE: u32 = 2;
+/// A choice is made among so many of a subset, drawn by chance: the cost of a request does not grow with
+/// the subset. Where gateways are few each sees enough of all backends to compare more.
+const SAMPLE: usize = 8;
+const SAMPLE_OF_FEW: usize = 64;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 const ZONE_BIAS: f64 = 5.0;
-/// Guards connection tables: one of many gateways has so many backends, others are `STRANGE` times further.
-const OWN_BACKENDS: f64 = 5.0;
-const STRANGE: f64 = 100.0;
 /// A cold backend gets this part of its capacity's share of an even part of all sends, at most as much again
 /// as it warms up: the more it bears, the less chance weighs. Warm ones get no more than they can do, so
 /// all gateways together stay under the multiple that fells it.
@@ -104,60 +94,6 @@
 const SWEEP: Millis = 25.0;
 const SWEEP_TOKEN: u64 = 1;
 
-#[derive(Default)]
-struct Backend {
-    zone: Name,
-    cell: u64,
-    ready: bool,
-    gone: bool,
-    started: Option<Millis>,
-    out: u32,
-    /// How many this gateway keeps out here at most.
-    room: f64,
-    failures: u32,
-    told: bool,
-    eject_until: Millis,
-    /// How many requests waited there by its last report, and when that came.
-    queue: (f64, Millis),
-}
-
-impl Backend {
-    /// Bounds what is out so that most answers keep to their aim: room follows the share of late answers.
-    /// Guards against overload of any cause; it needs no figure of the backend's size.
-    fn note_latency(&mut self, late: bool) {
-        let used = f64::from(self.out) + 1.0 >= self.room.floor();
-        if late || used {
-            let step = ROOM_STEP * (ROOM_LATE - f64::from(u8::from(late)));
-            self.room = (self.room * (1.0 + step)).max(ROOM_LEAST);
-        }
-    }
-
-    /// The share of its capacity that a backend surely has by now: it rises at least evenly.
-    fn warmth(&self, now: Millis, settings: &Settings) -> f64 {
-        let Some(started) = self.started else { return 1.0 };
-        let age = ((now - started) / settings.cold_time.max(1.0)).clamp(0.0, 1.0);
-        settings.cold_share + (1.0 - settings.cold_share) * age
-    }
-
-    /// Guards against dead and stalled backends, which show in outcomes long before the list does: nothing
-    /// is sent for as long again as the failure took, where calling off stops no work what was given
-    /// up still has to be worked through, and longer with each failure in a row. A connection that breaks
-    /// speaks of itself: kept ones go stale, the way resets them. Who died refuses the next one, which costs
-    /// no request; so this also covers middleboxes and restarts. It could hurt where a backend takes each
-    /// request and breaks: that spoils `BREAKS_FREE` more.
-    fn failed(&mut self, now: Millis, end: &AttemptEnd, settings: &Settings) -> bool {
-        self.failures += 1;
-        let broken = end.outcome == Outcome::Broken;
-        let counts = self.failures.saturating_sub(if broken { BREAKS_FREE } else { 0 });
-        if counts > 0 {
-            let share = EJECT_SHARE * f64::from(counts);
-            self.eject_until = now + end.latency.max(settings.cold_time * share);
-        }
-        let told = counts >= EJECT_TOLD;
-        told && !std::mem::replace(&mut self.told, told)
-    }
-}
-
 /// One customer as this gateway knows it.
 #[derive(Default)]
 struct Customer {
@@ -286,13 +222,19 @@
     sent_at: Millis,
 }
 
+/// Whether each gateway sees too little of a backend: choice goes by chance and by all answers together,
+/// and each keeps to a subset.
+fn many(gateways: u32) -> bool {
+    ROOM_FIRST < ROOM_LEAST * f64::from(gateways)
+}
+
 /// One gateway: build it from settings and a seed, then feed it events.
 #[derive(Default)]
 pub struct Gateway {
     settings: Settings,
     random: u64,
     now: Millis,
-    backends: BTreeMap<Name, Backend>,
+    backends: Members,
     customers: BTreeMap<Name, Customer>,
     requests: BTreeMap<RequestId, Request>,
     queue: VecDeque<RequestId>,
@@ -324,7 +266,9 @@
         check(&settings)?;
         let class_latency = vec![0.0; settings.classes.len()];
         let plan_odds = vec![[1.0, 0.5]; settings.plans.len()];
+        let (number, gateways) = (settings.number, settings.gateways);
         Ok(Self {
+            backends: Members::new(number, gateways, !many(gateways)),
             settings,
             random: mix(seed | 1),
             ease: 1.0,
@@ -340,6 +284,11 @@
         self.backends.len()
     }
 
+    /// The backends that this gateway works with, of all that may be sent something new.
+    pub fn subset(&self) -> impl Iterator<Item = &Name> {
+        self.backends.subset().chosen().iter().map(|slot| &self.backends.get(*slot).name)
+    }
+
     /// Takes one event at a time and appends what the host is to do.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -369,9 +318,8 @@
         }
     }
 
-    /// Whether each gateway sees too little of a backend: choice goes by chance and by all answers together.
     fn many(&self) -> bool {
-        ROOM_FIRST < ROOM_LEAST * f64::from(self.settings.gateways)
+        many(self.settings.gateways)
     }
 
     /// Guards a large fleet against overload: while too many answers are late, fewer fresh ones are taken,
@@ -394,23 +342,8 @@
 
     // ---- The list of backends ----
 
-    fn on_list(&mut self, list: Vec<BackendEntry>, full: bool, out: &mut Vec<Action>) {
-        if full {
-            self.backends.values_mut().for_each(|b| (b.ready, b.gone) = (false, true));
-        }
-        for entry in list {
-            let (ready, gone) = (entry.state == BackendState::Ready, entry.state == BackendState::Gone);
-            let known = self.backends.get_mut(&entry.name);
-            let out = known.as_ref().map_or(0, |b| b.out);
-            if let Some(known) = known.filter(|b| b.started == entry.started) {
-                (known.ready, known.gone) = (ready, gone);
-                continue;
-            }
-            let room = ROOM_FIRST / f64::from(self.settings.gateways);
-            let BackendEntry { name, zone, cell, started, .. } = entry;
-            self.backends
-                .insert(name, Backend { zone, cell, ready, gone, started, out, room, ..Default::default() });
-        }
+    fn on_list(&mut self, list: Vec<BackendEntry>, whole: bool, out: &mut Vec<Action>) {
+        self.backends.update(list, whole);
         self.drain_queue(out);
     }
 
@@ -590,9 +523,10 @@
             return;
         }
         let Some(request) = self.requests.get(&id) else { return };
+        let room = self.room();
         let hold = self.settings.classes[request.class].aim * HOLD_SHARE;
         let until = if fresh { request.arrived } else { self.now } + hold;
-        if until <= self.now || fresh && self.queue.len() as f64 >= self.room().max(1.0) {
+        if until <= self.now || fresh && self.queue.len() as f64 >= room {
             return self.give_up(id, out);
         }
         let worth = |r: &Request| self.settings.classes[r.class].worth;
@@ -655,15 +589,13 @@
 
     fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let chosen = if self.open_allowed(id) { self.pick(id) } else { None };
-        let Some(name) = chosen else { return false };
-        let (request, backend) = (self.requests.get_mut(&id), self.backends.get_mut(&name));
-        let (Some(request), Some(backend)) = (request, backend) else { return false };
-        backend.out += 1;
+        let (Some(slot), Some(request)) = (chosen, self.requests.get_mut(&id)) else { return false };
+        let backend = self.backends.sent(slot);
         if let Some(customer) = self.customers.get_mut(&request.customer) {
             customer.open += 1;
         }
         (request.stage, request.sent_at, request.attempts) = (Stage::Out, self.now, request.attempts + 1);
-        out.push(Action::Send { id, backend: name, timeout: None });
+        out.push(Action::Send { id, backend, timeout: None });
         true
     }
 
@@ -677,58 +609,83 @@
     }
 
     fn room(&self) -> f64 {
-        self.backends.values().filter(|b| b.ready).map(|b| b.room).sum()
+        room(&self.backends, self.settings.gateways).max(1.0)
     }
 
-    /// The backend that should answer first: the one with the fewest requests of this gateway, near if equal.
-    fn pick(&mut self, id: RequestId) -> Option<Name> {
+    /// The backend that should answer first: of this gateway's own, else of those that stand by for them.
+    fn pick(&mut self, id: RequestId) -> Option<Slot> {
+        if self.backends.out() >= self.room() {
+            return None;
+        }
+        let many = self.many();
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
         let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
-        let out: f64 = self.backends.values().map(|b| f64::from(b.out)).sum();
-        if out >= self.room().max(1.0) {
-            return None;
-        }
-        let ready = self.backends.values().filter(|b| b.ready).count().max(1) as f64;
-        let (salt, own) = (self.random, mix(u64::from(self.settings.number) + 1));
+        let salt = self.random;
+        let subset = self.backends.subset();
+        let (own, reserve, ready) = (subset.chosen(), subset.reserve(), subset.ready());
+        // Cold ones get their share from those whose own they are, and no more.
+        let stand_by = reserve.iter().map(|slot| (*slot, f64::INFINITY));
+        let chosen = match (tied, class.group) {
+            (Some((_, zone, _)), Group::Zone) => {
+                self.choose(subset.of_zone(zone).map(|slot| (slot, ready as f64)), class, salt)
+            }
+            (Some((.., cell)), Group::Cell) => {
+                self.choose(subset.of_cell(*cell).iter().map(|slot| (*slot, ready as f64)), class, salt)
+            }
+            _ => {
+                let sample = own.len().min(if many { SAMPLE } else { SAMPLE_OF_FEW });
+                let start = if sample < own.len() { (unit(!salt) * own.len() as f64) as usize } else { 0 };
+                let drawn = own.iter().cycle().skip(start).take(sample);
+                // Who stands by takes over only where none of these is left: else each trouble of one would open
+                // connections to others, from all gateways alike.
+                let own = self.choose(drawn.map(|slot| (*slot, sample as f64)), class, salt);
+                own.or_else(|| self.choose(stand_by, class, salt))
+            }
+        };
+        self.chance();
+        chosen
+    }
+
+    /// Of these the one with the fewest requests of this gateway, near if equal; each comes with the number of
+    /// those that it is one of, and a cold one is taken with odds of its part in so many.
+    fn choose(&self, of: impl IntoIterator<Item = (Slot, f64)>, class: &Class, salt: u64) -> Option<Slot> {
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
         let many = self.many();
-        let mut best: Option<(f64, &Name)> = None;
-        for (name, backend) in &self.backends {
-            let (group, zone, cell) = (class.group, &backend.zone, backend.cell);
-            let same =
-                |home: &(_, Name, u64)| if group == Group::Zone { home.1 == *zone } else { home.2 == cell };
-            let in_group = group == Group::All || tied.is_none_or(same);
+        let mut best: Option<(f64, Slot)> = None;
+        for (slot, odds) in of {
+            let backend = self.backends.get(slot);
             let full = f64::from(backend.out) >= backend.room.ceil();
-            let luck = unit(salt ^ hash(name));
+            if full || self.now < backend.eject_until {
+                continue;
+            }
+            let luck = unit(salt ^ backend.salt);
             let warmth = backend.warmth(self.now, &self.settings);
             // Guards cold backends with no agreement: by chance their share of an even part, from the start.
             let part = (COLD_MULTIPLE * warmth * (warmth + COLD_LEAST)).min(1.0);
-            let cold = warmth < 1.0 && luck * ready >= part;
-            if !backend.ready || !in_group || full || cold || self.now < backend.eject_until {
+            let score = if warmth >= 1.0 {
+                // Among many, a draw by weight: no two gateways follow the same order.
+                let (queue, heard) = backend.queue;
+                let queue = queue * (-(self.now - heard) / class.aim.max(1.0)).exp();
+                let draw =
+                    if many { -luck.max(1e-12).ln() * (1.0 + queue).powi(2) } else { 1.0 + 0.1 * luck };
+                let far = if backend.zone == self.settings.zone { 1.0 } else { far };
+                (1.0 + f64::from(backend.out)) * far * draw
+            } else if luck * odds < part {
+                luck - 1.0
+            } else {
                 continue;
-            }
-            // Among many, a draw by weight: no two gateways follow the same order.
-            let (queue, heard) = backend.queue;
-            let queue = queue * (-(self.now - heard) / class.aim.max(1.0)).exp();
-            let draw = if many { -luck.max(1e-12).ln() * (1.0 + queue).powi(2) } else { 1.0 + 0.1 * luck };
-            let far = if *zone == self.settings.zone { 1.0 } else { far };
-            let own = unit(hash(name) ^ own) * ready < OWN_BACKENDS;
-            let far = if own || !many { far } else { far * STRANGE };
-            let score = if warmth < 1.0 { 0.0 } else { (1.0 + f64::from(backend.out)) * far * draw };
+            };
             if best.is_none_or(|(s, _)| score < s) {
-                best = Some((score, name));
+                best = Some((score, slot));
             }
         }
-        let chosen = best.map(|(_, name)| name.clone());
-        self.chance();
-        chosen
+        best.map(|(_, slot)| slot)
     }
 
     fn on_backend(&mut self, end: &AttemptEnd, out: &mut Vec<Action>) {
         let (now, name, latency) = (self.now, &end.backend, end.latency);
-        let Some(backend) = self.backends.get_mut(name) else { return };
-        backend.out = backend.out.saturating_sub(1);
+        let Some(backend) = self.backends.ended(name) else { return };
         if let Some(queue) = end.load.and_then(|load| load.queue) {
             backend.queue = (queue, now);
         }
@@ -773,7 +730,7 @@
         request.stage = Stage::Queue;
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
         if !never_ran && request.may_have_run.is_none() {
-            let home = self.backends.get(&end.backend).map(|b| (request.sent_at, b.zone.clone(), b.cell));
+            let home = self.backends.named(&end.backend).map(|b| (request.sent_at, b.zone.clone(), b.cell));
             request.may_have_run = home.or(Some((request.sent_at, Name::default(), u64::MAX)));
         }
         if self.may_try_again(id) { self.place(id, out) } else { self.give_up(id, out) }
@@ -938,8 +895,7 @@
         let (now, mut asking) = (self.now, Vec::new());
         let (plans, ending) = (&self.settings.plans, self.ending);
         self.told.retain(|_, (_, at)| now - *at < KEEP_MOST);
-        // Guards the memory, and each choice, against a fleet that is replaced all day.
-        self.backends.retain(|_, backend| !backend.gone || backend.out > 0);
+        self.backends.forget_gone();
         self.customers.retain(|name, customer| {
             let plan = &plans[customer.plan];
             let (idle, turn) = (now - customer.demand_at, Customer::turn(plan));
