Hash a backend's name once when it is taken in

Cause: the name was hashed for the subset as well as for the choice, on each change. No change of behaviour: the position on the ring comes from the hash that the table keeps (tests/subset.rs passes).

--- a/src/members.rs
+++ b/src/members.rs
@@ -75,8 +75,8 @@
         let was = std::mem::replace(&mut backend.ready, ready);
         backend.gone = gone;
         match (was, ready) {
-            (false, true) => self.subset.insert(slot, &backend.name, &backend.zone, backend.cell),
-            (true, false) => self.subset.remove(slot, &backend.name, &backend.zone, backend.cell),
+            (false, true) => self.subset.insert(slot, backend.salt, &backend.zone, backend.cell),
+            (true, false) => self.subset.remove(slot, backend.salt, &backend.zone, backend.cell),
             _ => {}
         }
         if gone {
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -122,24 +122,29 @@
         Self { group: group.into(), bin: (number / groups) as usize % bins, bins, ..Self::default() }
     }
 
-    fn position(&self, name: &str) -> u64 {
-        mix(hash(name) ^ mix(self.group + 1))
+    /// Where something with this hash stands on the group's ring.
+    fn position(&self, salt: u64) -> u64 {
+        mix(salt ^ mix(self.group + 1))
     }
 
-    /// A backend may be sent something new from now on.
-    pub(crate) fn insert(&mut self, slot: Slot, name: &str, zone: &Name, cell: u64) {
-        let (position, bins) = (self.position(name), self.bins);
-        let shift = unit(self.position(zone));
-        let empty = || Ring { bins: vec![Vec::new(); bins], size: 0, shift };
-        self.rings.entry(zone.clone()).or_insert_with(empty).insert(position, slot);
+    /// A backend may be sent something new from now on; its salt is a hash of its name.
+    pub(crate) fn insert(&mut self, slot: Slot, salt: u64, zone: &Name, cell: u64) {
+        let (position, bins) = (self.position(salt), self.bins);
+        if !self.rings.contains_key(zone) {
+            let shift = unit(self.position(hash(zone)));
+            self.rings.insert(zone.clone(), Ring { bins: vec![Vec::new(); bins], size: 0, shift });
+        }
+        if let Some(ring) = self.rings.get_mut(zone) {
+            ring.insert(position, slot);
+        }
         self.cells.entry(cell).or_default().push(slot);
         self.ready += 1;
         self.stale = true;
     }
 
     /// A backend that was inserted so may be sent nothing new any more.
-    pub(crate) fn remove(&mut self, slot: Slot, name: &str, zone: &Name, cell: u64) {
-        let position = self.position(name);
+    pub(crate) fn remove(&mut self, slot: Slot, salt: u64, zone: &Name, cell: u64) {
+        let position = self.position(salt);
         if let Some(ring) = self.rings.get_mut(zone) {
             ring.remove(position, slot);
             if ring.size == 0 {
