Force full descriptors while discovery and counter return, and starts under any discovery

Two crossings that no test forced. Idle clients fill what there is while discovery and counter refuse; both return, and move three times with calls still out at the old places: lists are fetched, the counter is called, clients are served. And a process starts while discovery refuses, is silent, turns calls away, breaks, makes noise or stops half-way, with a list that is hours old: /up answers, what is known is served, and the list counts once it comes. In all tests the gateway's process is now held to the descriptors that it is told of.

--- a/gateway/tests/backends.rs
+++ b/gateway/tests/backends.rs
@@ -3,13 +3,12 @@
 mod helper;
 
 use fennelscale::connection::{Connection, Progress};
-use helper::{Backend, Do, Gateway, Mood, Setup, World, list, ok, pause, request, row};
+use helper::{Backend, Do, Gateway, Mood, Setup, World, list, ok, pause, refusing, request, row};
 use http_body_util::Full;
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 
 const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 const FULL: &str = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
@@ -23,14 +22,6 @@
     format!("HTTP/1.1 200 OK\r\nX-Long: {}", "y".repeat(20_000))
 }
 
-/// A port that is held but not listened at: it refuses, and nobody else can take it.
-fn refusing() -> (TcpSocket, SocketAddr) {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let at = socket.local_addr().expect("an address");
-    (socket, at)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
     for deed in [
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
 
@@ -100,7 +100,10 @@
 
 impl Backend {
     pub async fn start(deeds: &[Do]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::serve(TcpListener::bind("127.0.0.1:0").await.expect("a port"), deeds)
+    }
+
+    pub fn serve(listener: TcpListener, deeds: &[Do]) -> Self {
         let at = listener.local_addr().expect("an address");
         let heard: Arc<Mutex<Vec<Heard>>> = Arc::default();
         let deeds = Arc::new(Mutex::new(deeds.to_vec()));
@@ -188,7 +191,10 @@
 
 impl Discovery {
     pub async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::serve(TcpListener::bind("127.0.0.1:0").await.expect("a port"))
+    }
+
+    pub fn serve(listener: TcpListener) -> Self {
         let at = listener.local_addr().expect("an address");
         let (say, hear_it) = watch::channel(None::<String>);
         let calls = Arc::new(AtomicU32::new(0));
@@ -261,7 +267,10 @@
 
 impl Counter {
     pub async fn start(mood: Mood) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Self::serve(TcpListener::bind("127.0.0.1:0").await.expect("a port"), mood)
+    }
+
+    pub fn serve(listener: TcpListener, mood: Mood) -> Self {
         let at = listener.local_addr().expect("an address");
         let this =
             Self { at, totals: Arc::default(), calls: Arc::default(), mood: Arc::new(Mutex::new(mood)) };
@@ -324,6 +333,14 @@
     Some(words)
 }
 
+/// A port that is held but not listened at: it refuses, and nobody else can take it.
+pub fn refusing() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let at = socket.local_addr().expect("an address");
+    (socket, at)
+}
+
 /// How the settings differ from the usual ones.
 pub struct Setup {
     pub rate: f64,
@@ -397,7 +414,10 @@
         let number = FILES.fetch_add(1, Ordering::SeqCst);
         let config = std::env::temp_dir().join(format!("fennelscale-{}-{number}.json", std::process::id()));
         std::fs::write(&config, &text).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fennelscale"))
+        // It gets no more descriptors than it is told.
+        let limited = r#"ulimit -n "$0" && exec "$1""#;
+        let mut child = Command::new("sh")
+            .args(["-c", limited, &sockets.to_string(), env!("CARGO_BIN_EXE_fennelscale")])
             .env("NODE_CONFIG", &config)
             .env_remove("NODE_LISTEN")
             .env("NODE_DISCOVERY", discovery.to_string())
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -2,11 +2,13 @@
 
 mod helper;
 
-use helper::{Backend, Counter, Discovery, Do, Mood, Setup, World, list, ok, request, row};
+use helper::{Backend, Client, Counter, Discovery, Do, Gateway, Mood, Setup, World, list, ok, request, row};
 use std::process::Command;
-use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
@@ -133,6 +135,135 @@
     assert_eq!(reply.expect("an answer").status(), 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_is_ready_and_serves_what_it_knows_whatever_discovery_does_and_takes_its_list_in_later() {
+    let later = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n".to_owned();
+    let moods = [
+        None,
+        Some(Do::Hang),
+        Some(Do::Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".into())),
+        Some(Do::SayAndClose(String::new())),
+        Some(Do::Repeat(" ".into())),
+        Some(Do::SayAndThen(later, 50, " ".into())),
+    ];
+    for mood in moods {
+        let started = Backend::start(&[Do::Say(ok("new"))]).await;
+        let (up, here) =
+            (Backend::start(&[Do::Say(ok("old"))]).await, Backend::start(&[Do::Say(ok("old"))]).await);
+        // What it knew hours ago: one of these has gone since, and one has started that it does not know.
+        let (_held, gone) = helper::refusing();
+        let rows = [("up", up.at), ("gone", gone), ("here", here.at)];
+        let setup = Setup::knowing(&rows.map(|(name, at)| row(name, at, "in_service")));
+        let counter = Counter::start(Mood::Adds).await;
+        let (socket, at) = helper::refusing();
+        let serve = |socket: TcpSocket, deed| Backend::serve(socket.listen(8).expect("a listener"), &[deed]);
+        let (socket, discovery) = match mood.clone() {
+            Some(deed) => (None, Some(serve(socket, deed))),
+            None => (Some(socket), None),
+        };
+        let gateway = Gateway::start(at, counter.at, &setup).await;
+        assert_eq!(gateway.client().await.ask(UP).await.status(), 200, "{mood:?}");
+        for _ in 0..5 {
+            let reply = gateway.client().await.ask(&request("order", 900, "", "b")).await;
+            assert_eq!(reply.body, b"old", "{mood:?}");
+        }
+        let discovery = discovery.or(socket.map(|s| serve(s, Do::Hang))).expect("discovery");
+        // What it does not name is gone.
+        let text = list(900, true, &[row("new", started.at, "in_service")]);
+        *discovery.deeds.lock().expect("lock") = vec![Do::SayLater(100, ok(&text))];
+        let taken_in = || {
+            let heard = discovery.heard.lock().expect("lock");
+            heard.last().is_some_and(|call| call.line.contains("after=900&"))
+        };
+        helper::until("the call behind the list", taken_in).await;
+        let before = (up.attempts(), here.attempts());
+        for _ in 0..5 {
+            let reply = gateway.client().await.ask(&request("order", 900, "", "b")).await;
+            assert_eq!(reply.body, b"new", "{mood:?}");
+        }
+        assert_eq!((up.attempts(), here.attempts()), before, "{mood:?}");
+    }
+}
+
+/// A client that asks on new connections until one is not shut unread, and by then `taken`.
+async fn entered(gateway: &Gateway, text: &str, taken: impl Fn() -> bool) -> Client {
+    loop {
+        let mut client = gateway.client().await;
+        let _ = client.0.write_all(text.as_bytes()).await;
+        tokio::select! {
+            biased;
+            () = helper::until("what a request leads to", &taken) => return client,
+            bytes = client.0.fill_buf() => {
+                if bytes.is_ok_and(|b| !b.is_empty()) {
+                    return client;
+                }
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crowd_that_fills_the_descriptors_leaves_some_for_discovery_and_counter_when_they_return() {
+    let (hangs, serves) =
+        (Backend::start(&[Do::Hang]).await, Backend::start(&[Do::SayLater(20, ok("x"))]).await);
+    let (discovery, counter) = (helper::refusing(), helper::refusing());
+    // Room for 33 clients and 27 connections to backends.
+    let rows =
+        |name: &str, at| (0..22).map(|n| row(&format!("{name}{n}"), at, "in_service")).collect::<Vec<_>>();
+    let setup = Setup { sockets: 92, ..Setup::knowing(&rows("a", hangs.at)) }.patient(200_000);
+    let mut gateway = Gateway::start(discovery.1, counter.1, &setup).await;
+    let mut busy = Vec::new();
+    for n in 1..=22 {
+        let text = request("look", 500_000, "", "").replace("Plan: p", "Plan: free");
+        busy.push(entered(&gateway, &text, || hangs.attempts() == n).await);
+    }
+    // Whoever has to go comes again at once.
+    let (at, closed) = (gateway.at, Arc::<AtomicU32>::default());
+    for _ in 0..60 {
+        let closed = closed.clone();
+        tokio::spawn(async move {
+            loop {
+                if let Ok(mut stream) = TcpStream::connect(at).await {
+                    let _ = stream.read_to_end(&mut Vec::new()).await;
+                    closed.fetch_add(1, SeqCst);
+                }
+            }
+        });
+    }
+    helper::until("a full gateway", || closed.load(SeqCst) > 60).await;
+    let listen = |socket: TcpSocket| socket.listen(1024).expect("a listener");
+    let mut places = (Discovery::serve(listen(discovery.0)), Counter::serve(listen(counter.0), Mood::Adds));
+    let first = (places.0.at, places.1.at);
+    for round in 0..3 {
+        let (discovery, counter) = &places;
+        discovery.tell(list(7, true, &rows("b", serves.at)));
+        discovery.taken_in().await;
+        let text = |n: u32| {
+            let customer = format!("{:016x}", 100_000 * round + n);
+            request("look", 60_000, "", "").replace("00000000b4d65521", &customer)
+        };
+        // The counter is asked again once it has been silent for a while.
+        let mut customers = 0..;
+        let work = async {
+            while counter.calls.load(SeqCst) == 0 || customers.start < 5 {
+                let text = text(customers.next().expect("a number"));
+                assert_eq!(entered(&gateway, &text, || false).await.read().await.status(), 200);
+            }
+        };
+        helper::soon("a call of the counter", work).await;
+        // Whatever is out there is not answered before both have moved.
+        *counter.mood.lock().expect("lock") = Mood::Held;
+        let calls = counter.calls.load(SeqCst);
+        busy.push(entered(&gateway, &text(customers.start), || counter.calls.load(SeqCst) > calls).await);
+        let next = (Discovery::start().await, Counter::start(Mood::Adds).await);
+        let changes = [(first.0, next.0.at), (first.1, next.1.at)];
+        let changes = changes.map(|(old, new)| (old.to_string(), new.to_string()));
+        gateway.reconfigure(&changes).await;
+        places = next;
+    }
+    assert_eq!(hangs.attempts(), 22);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn sighup_moves_discovery_and_counter_while_requests_go_on() {
     let old = Backend::start(&[Do::SayLater(600, ok("old")), Do::Say(ok("old"))]).await;
