Draw once for each request whether it may go to a cold backend; mix every bit of the seed

And `Gateway::new` mixed `seed | 1`: gateways whose seeds differ in the last bit alone made all choices alike. Change: the draw comes from the request's number and the gateway's seed, so that it is one for each request and backend.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -247,6 +247,7 @@
     told: BTreeMap<u64, (f64, Millis)>,
     silences: u32,
     back_at: Millis,
+    seed: u64,
     counter_heard: Millis,
     told_silent: bool,
     class_latency: Vec<f64>,
@@ -270,7 +271,8 @@
         Ok(Self {
             backends: Members::new(number, gateways, !many(gateways)),
             settings,
-            random: mix(seed | 1),
+            seed: mix(seed),
+            random: mix(seed),
             ease: 1.0,
             take: 1.0,
             plan_odds,
@@ -628,10 +630,10 @@
         let stand_by = reserve.iter().map(|slot| (*slot, f64::INFINITY));
         let chosen = match (tied, class.group) {
             (Some((_, zone, _)), Group::Zone) => {
-                self.choose(subset.of_zone(zone).map(|slot| (slot, ready as f64)), class, salt)
+                self.choose(subset.of_zone(zone).map(|slot| (slot, ready as f64)), id, class, salt)
             }
             (Some((.., cell)), Group::Cell) => {
-                self.choose(subset.of_cell(*cell).iter().map(|slot| (*slot, ready as f64)), class, salt)
+                self.choose(subset.of_cell(*cell).iter().map(|slot| (*slot, ready as f64)), id, class, salt)
             }
             _ => {
                 let sample = own.len().min(if many { SAMPLE } else { SAMPLE_OF_FEW });
@@ -639,8 +641,8 @@
                 let drawn = own.iter().cycle().skip(start).take(sample);
                 // Who stands by takes over only where none of these is left: else each trouble of one would open
                 // connections to others, from all gateways alike.
-                let own = self.choose(drawn.map(|slot| (*slot, sample as f64)), class, salt);
-                own.or_else(|| self.choose(stand_by, class, salt))
+                let own = self.choose(drawn.map(|slot| (*slot, sample as f64)), id, class, salt);
+                own.or_else(|| self.choose(stand_by, id, class, salt))
             }
         };
         self.chance();
@@ -649,7 +651,9 @@
 
     /// Of these the one with the fewest requests of this gateway, near if equal; each comes with the number of
     /// those that it is one of, and a cold one is taken with odds of its part in so many.
-    fn choose(&self, of: impl IntoIterator<Item = (Slot, f64)>, class: &Class, salt: u64) -> Option<Slot> {
+    fn choose(
+        &self, of: impl IntoIterator<Item = (Slot, f64)>, id: RequestId, class: &Class, salt: u64,
+    ) -> Option<Slot> {
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
         let many = self.many();
         let mut best: Option<(f64, Slot)> = None;
@@ -661,7 +665,9 @@
             }
             let luck = unit(salt ^ backend.salt);
             let warmth = backend.warmth(self.now, &self.settings);
-            // Guards cold backends with no agreement: by chance their share of an even part, from the start.
+            // Guards cold backends with no agreement: by chance their share of an even part, from the start. One
+            // draw for each request: one that waits, or fails elsewhere, has no better odds the more it looks.
+            let drawn = unit(mix(self.seed ^ id) ^ backend.salt);
             let part = (COLD_MULTIPLE * warmth * (warmth + COLD_LEAST)).min(1.0);
             let score = if warmth >= 1.0 {
                 // Among many, a draw by weight: no two gateways follow the same order.
@@ -671,8 +677,8 @@
                     if many { -luck.max(1e-12).ln() * (1.0 + queue).powi(2) } else { 1.0 + 0.1 * luck };
                 let far = if backend.zone == self.settings.zone { 1.0 } else { far };
                 (1.0 + f64::from(backend.out)) * far * draw
-            } else if luck * odds < part {
-                luck - 1.0
+            } else if drawn * odds < part {
+                drawn - 1.0
             } else {
                 continue;
             };
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -198,3 +198,19 @@
     round(&mut doors[0], 100.0, 300);
     assert!(round(&mut doors[0], 100.0, 40) > 36, "and it recovers");
 }
+
+#[test]
+fn gateways_whose_seeds_differ_in_the_last_bit_choose_apart() {
+    let backends = names(10);
+    let backends: Vec<&str> = backends.iter().map(String::as_str).collect();
+    let chosen = |seed| {
+        let mut door = Door::seeded(Settings { gateways: GATEWAYS, ..settings() }, seed, &backends);
+        let mut choose = |id| {
+            let at = door.served(id, &format!("c{id}"), "plain", "unsafe");
+            door.end(id, 0, &at, Outcome::Served);
+            at
+        };
+        (1..=10).map(&mut choose).collect::<Vec<_>>()
+    };
+    assert!(chosen(1000) != chosen(1001), "{:?}", chosen(1000));
+}
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -31,8 +31,10 @@
     servers: usize,
     /// The share of the servers that starts cold; one at least.
     cold: f64,
+    /// Requests offered, as a share of what all servers could do when warm.
+    load: f64,
     traffic: Traffic,
-    /// How attempts fail, and which share of them.
+    /// How attempts fail, and which share of them; at 1 all of those at warm servers, from the start on.
     fails: (Outcome, f64),
     /// Gateways hear of the start up to this much later.
     heard: Millis,
@@ -46,6 +48,7 @@
     gateways: 0,
     servers: 0,
     cold: 0.0,
+    load: 1.0,
     traffic: Traffic::Even,
     fails: (Outcome::Error, 0.0),
     heard: 0.0,
@@ -136,7 +139,7 @@
             })
             .collect();
         let weight: f64 = weights.iter().sum();
-        let gap = 1000.0 / (CAPACITY * case.servers as f64);
+        let gap = 1000.0 / (case.load * CAPACITY * case.servers as f64);
         let (mut when, mut id) = (0.0, 0);
         while when < END {
             when -= self.random.share().max(1e-12).ln() * gap;
@@ -231,8 +234,13 @@
         }
         let attempt = *self.attempts.entry(id).and_modify(|n| *n += 1).or_insert(0);
         let (bad, share) = self.case.fails;
-        let outcome = if self.random.share() < share { bad } else { Outcome::Served };
-        let latency = if outcome == Outcome::Full { 2.0 } else { LATENCY };
+        let spared = share == 1.0 && (self.now < START || self.sent.contains_key(&backend));
+        let outcome = if !spared && self.random.share() < share { bad } else { Outcome::Served };
+        let latency = match outcome {
+            Outcome::Full => 2.0,
+            Outcome::TimedOut => 2000.0,
+            _ => LATENCY,
+        };
         let finished = outcome == Outcome::Served;
         let end =
             AttemptEnd { id, attempt, backend, outcome, latency, true_units: None, finished, load: None };
@@ -291,9 +299,21 @@
     hold(&[Case { cold: 0.1, ..CASE }, Case { cold: 0.5, ..CASE }]);
 }
 
+#[test]
+fn a_fleet_that_is_cold_as_a_whole_stays_under_its_budgets() {
+    let whole = Case { cold: 1.0, back: true, ..CASE };
+    hold(&[Case { load: 0.65, ..whole }, whole]);
+}
+
+#[test]
+fn cold_servers_bear_no_more_when_the_warm_ones_are_lost() {
+    let fails = [Outcome::ConnectFailed, Outcome::TimedOut];
+    hold(&fails.map(|outcome| Case { cold: 0.3, fails: (outcome, 1.0), ..CASE }));
+}
+
 #[test]
 fn further_attempts_count_as_first_ones_do() {
-    let fails = [(Outcome::Error, 0.3), (Outcome::Broken, 0.3), (Outcome::Full, 0.1)];
+    let fails = [(Outcome::Error, 0.3), (Outcome::Broken, 0.3), (Outcome::Full, 0.1), (Outcome::Full, 0.3)];
     hold(&fails.map(|fails| Case { fails, ..CASE }));
 }
 
