Hold ceilings also where the plan grants more than them, or names no rate

Cause: nothing read a plan's ceiling but whether there is one. With no refill every request passed (`Gateway::admit`): down to -15717 of -3.2 (16 gateways, 30 s); and a ceiling under 1.6 times rate and burst relied on counts that are never lost: -27.0 of -2 at 1.0 times, -13.8 of -2.4 at 1.2, -6.6 of -2.8 at 1.4, counts lost every 2.3 s (`tests/ceilings.rs`). Change: the quota granted under a ceiling is at most the ceiling over 1.6, in rate and burst (`Customer::bounded`). Result: both tests pass.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 const BLOCK_WAIT: f64 = 0.12;
 /// Under a ceiling an unknown customer starts with this share of its burst (see `Customer::start_of`).
 const CEILING_START: f64 = 0.5;
+/// A ceiling is held by quotas that stay this many times under it in rate and burst (see there too).
+const CEILING_TIMES: f64 = 1.6;
 /// The counter counts as silent after this many time-outs without an answer: one call may just be late.
 const SILENT_AFTER: f64 = 3.0;
 /// The most counter calls out at once from one gateway while the counter is at ease.
@@ -125,9 +127,22 @@
 }
 
 impl Customer {
-    /// What an unknown customer's store is taken to hold. Under a ceiling (at least 1.6 times rate and burst
-    /// by its plan) only half the burst: a gateway may come back to an emptied count while the others have
-    /// just granted a full burst, and burst + half a burst + rate x time stays within the ceiling.
+    /// The quota that is granted under a plan: under a ceiling no more than holds it, also where the plan
+    /// itself grants more or names no rate.
+    fn bounded(plan: &Plan) -> Plan {
+        let (rate, burst) = (plan.ceiling_rate / CEILING_TIMES, plan.ceiling_burst / CEILING_TIMES);
+        let mut plan = plan.clone();
+        if rate > 0.0 && burst > 0.0 {
+            let quota = plan.rate > 0.0;
+            plan.rate = if quota { plan.rate.min(rate) } else { rate };
+            plan.burst = if quota { plan.burst.min(burst) } else { burst };
+        }
+        plan
+    }
+
+    /// What an unknown customer's store is taken to hold. Under a ceiling only half the burst: a gateway may
+    /// come back to an emptied count while the others have just granted a full burst, and burst + half a
+    /// burst + rate x time stays within the ceiling.
     fn start_of(plan: &Plan) -> f64 {
         if plan.ceiling_rate > 0.0 { plan.burst * CEILING_START } else { plan.burst }
     }
@@ -263,8 +278,9 @@
     ///
     /// # Errors
     /// When the settings cannot be used.
-    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+    pub fn new(mut settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
+        settings.plans = settings.plans.iter().map(Customer::bounded).collect();
         let class_latency = vec![0.0; settings.classes.len()];
         let plan_odds = vec![[1.0, 0.5]; settings.plans.len()];
         let (number, gateways) = (settings.number, settings.gateways);
--- a/tests/ceilings.rs
+++ b/tests/ceilings.rs
@@ -15,6 +15,10 @@
     /// Requests take from one unit up to this many.
     most_units: u64,
     burst: f64,
+    /// The plan's rate; 0 where the ceiling is its only bound. The ceiling is this many times 5 units a second
+    /// and the burst.
+    rate: f64,
+    ceiling: f64,
     /// When the counter says nothing, and whether it has lost all counts then.
     silent: (Millis, Millis),
     emptied: bool,
@@ -31,6 +35,8 @@
     gateways: 4,
     most_units: 1,
     burst: 20.0,
+    rate: 5.0,
+    ceiling: 1.6,
     silent: (NEVER, NEVER),
     emptied: false,
     loses: NEVER,
@@ -66,7 +72,8 @@
     fn new(case: Case) -> Self {
         let mut set = settings();
         let plan = &mut set.plans[1];
-        (plan.burst, plan.ceiling_burst, plan.ceiling_rate) = (case.burst, 1.6 * case.burst, 1.6 * plan.rate);
+        (plan.rate, plan.burst) = (case.rate, case.burst);
+        (plan.ceiling_rate, plan.ceiling_burst) = (5.0 * case.ceiling, case.burst * case.ceiling);
         plan.ceiling_slack = (0.1 * plan.ceiling_burst).max(case.most_units as f64);
         (set.gateways, set.most_units) = (case.gateways, case.most_units as f64);
         let store = plan.ceiling_burst;
@@ -211,10 +218,12 @@
     assert!(over.is_empty(), "{over:#?}");
 }
 
-/// With one gateway, some, and as many as may share such a customer; with small and large requests.
+/// With one gateway, some, and as many as may share such a customer (its ceiling holds two of the largest requests
+/// for each); with small and large requests.
 fn sizes(case: Case) -> Vec<Case> {
+    let most = |most_units: u64| (case.ceiling * case.burst / 2.0 / most_units as f64) as u32;
     [(1, 1), (4, 1), (16, 1), (2, 5), (4, 4)]
-        .map(|(gateways, most_units)| Case { gateways, most_units, ..case })
+        .map(|(gateways, most_units)| Case { gateways: most(most_units).min(gateways), most_units, ..case })
         .to_vec()
 }
 
@@ -245,3 +254,19 @@
     // In silence a new gateway has nothing to go by, and starts from half a burst between them all.
     hold(&sizes(Case { lives: 4000.0, silent: (7000.0, 15_000.0), emptied: true, ..CASE }));
 }
+
+#[test]
+fn a_ceiling_without_a_quota_under_it_is_held() {
+    hold(&sizes(Case { rate: 0.0, ..CASE }));
+}
+
+#[test]
+fn a_ceiling_that_is_close_to_the_quota_is_held() {
+    let near = |ceiling| {
+        let near = Case { ceiling, ..CASE };
+        let lost = Case { loses: 2300.0, ..near };
+        let anew = Case { lives: 4000.0, silent: (7000.0, 15_000.0), emptied: true, ..near };
+        [near, lost, anew].into_iter().flat_map(sizes)
+    };
+    hold(&[1.0, 1.2, 1.4].into_iter().flat_map(near).collect::<Vec<_>>());
+}
