Answer a request whose customer was forgotten while it waited

Cause: housekeeping drops a customer that has asked nothing for two turns and has nothing out and no call; a request that waits in line for a further attempt did not count. When that attempt ended `on_attempt` returned for want of the customer: no answer, and the request stayed in the table. A real gateway answered 502 at the deadline. Found by the long streams of `tests/streams.rs` with a burst of 0.6 at 5 a second; `tests/effects.rs` has the order on usual figures. Change: the end of the attempt is dealt with, customer or not. The streams also know customers of many gateways and requests of several units now.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -247,6 +247,7 @@
 #[derive(Default)]
 pub struct Gateway {
     settings: Settings,
+    seed: u64,
     random: u64,
     now: Millis,
     backends: Members,
@@ -262,7 +263,6 @@
     told: BTreeMap<u64, (f64, Millis)>,
     silences: u32,
     back_at: Millis,
-    seed: u64,
     counter_heard: Millis,
     told_silent: bool,
     class_latency: Vec<f64>,
@@ -740,15 +740,20 @@
     fn on_attempt(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
         let (id, outcome) = (end.id, end.outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
-        if let Some(true_units) = end.true_units.filter(|_| outcome == Outcome::Served) {
+        // A customer that was idle for long enough has been forgotten; its request is owed an answer all the same.
+        let mut customer = self.customers.get_mut(&request.customer);
+        if let (Some(customer), Some(true_units)) = (&mut customer, end.true_units)
+            && outcome == Outcome::Served
+        {
             customer.owed += true_units - request.units;
             customer.store -= true_units - request.units;
         }
         if end.finished || outcome == Outcome::Served {
             return self.forget(id);
         }
-        customer.open = customer.open.saturating_sub(1);
+        if let Some(customer) = customer {
+            customer.open = customer.open.saturating_sub(1);
+        }
         request.stage = Stage::Queue;
         let never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent);
         if !never_ran && request.may_have_run.is_none() {
--- a/tests/effects.rs
+++ b/tests/effects.rs
@@ -141,3 +141,34 @@
     door.tell(Event::BackendChanges(vec![backend("a2", BackendState::Ready, None)]));
     assert!(!door.did.iter().any(|a| matches!(a, Action::Send { .. })), "{:?}", door.did);
 }
+
+#[test]
+fn a_request_that_waits_past_its_customer_s_idle_time_gets_its_answer_all_the_same() {
+    // Two turns are 2 s. The first attempt takes nearly as long; then the only backend is left alone for a while.
+    let mut settings = settings();
+    (settings.plans[0].rate, settings.plans[0].burst) = (5.0, 5.0);
+    let mut door = Door::new(settings, &["a1"]);
+    let ask = Arrival {
+        id: 1,
+        customer: "c".into(),
+        plan: "plain".into(),
+        class: "safe".into(),
+        units: 1.0,
+        repeat: false,
+        patience: 4000.0,
+        first: 0,
+        spread: 1,
+    };
+    let (name, amount) = count(&door.tell(Event::Request(ask))).expect("call");
+    let at = sent(&door.total(name, amount)).expect("sent on").1;
+    door.now += 1900.0;
+    let did = door.end_after(1900.0, 1, 0, &at, Outcome::ConnectFailed);
+    assert!(sends(&did) == 0 && !refused(&did, 1) && !failed(&did, 1), "it waits: {did:?}");
+    door.pass(150.0, &[]);
+    let did = door.tell(Event::BackendChanges(vec![backend("a2", BackendState::Ready, None)]));
+    let at = sent(&did).expect("sent on").1;
+    let did = door.end(1, 1, &at, Outcome::Full);
+    let later = door.pass(300.0, &[1]);
+    let did = [did, later].concat();
+    assert!(sends(&did) == 1 || refused(&did, 1) || failed(&did, 1), "no answer: {did:?}");
+}
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -98,11 +98,11 @@
         customer: format!("{plan}-{customer}").as_str().into(),
         plan: plan.into(),
         class: ["safe", "keyed", "unsafe"][class].into(),
-        units: 1.0,
+        units: [0.0, 0.5, 1.0, 3.0][random.below(4) as usize],
         repeat: random.below(4) == 0,
         patience,
         first: random.below(2) as u32,
-        spread: random.below(3) as u32,
+        spread: [0, 1, 2, 30, 300, 4000][random.below(6) as usize],
     })
 }
 
@@ -228,7 +228,7 @@
 #[test]
 fn rules_hold_where_settings_are_short_absent_or_zero() {
     type Odd = (&'static str, fn(&mut Settings));
-    let odd: [Odd; 14] = [
+    let odd: [Odd; 15] = [
         ("window and connections", |s| (s.classes[1].memory, s.connect_timeout) = (600.0, 250.0)),
         ("window shorter than a connection", |s| (s.classes[1].memory, s.connect_timeout) = (200.0, 250.0)),
         ("window shorter than a tick", |s| s.classes[1].memory = 3.0),
@@ -244,6 +244,7 @@
         ("no aim", |s| s.classes.iter_mut().for_each(|c| c.aim = 0.0)),
         ("no quota", |s| s.plans.iter_mut().for_each(|p| (p.rate, p.burst) = (0.0, 0.0))),
         ("a burst under one request", |s| s.plans.iter_mut().for_each(|p| (p.rate, p.burst) = (0.3, 0.6))),
+        ("a quota that turns over fast", |s| s.plans.iter_mut().for_each(|p| p.burst = 0.6)),
         ("many gateways", |s| s.gateways = 3100),
     ];
     for (what, change) in odd {
