Take in lists of 26,000 backends in linear time, and keep idle connections in a pool of their own

Change: each backend notes the last list that named it, so a whole list is one pass over itself and one over what is known, and a change touches its entries alone. Idle connections live in a pool (pool.rs) that holds backends with idle connections only and counts them; making room and upkeep walk that. Lists have room for 2^15 backends of 512 bytes. Texts in a list are borrowed while it is read, and neighbours share their zone's name. The list of 26,000 was not known after a minute where 1 MiB is the limit: the test fails there.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -3,6 +3,7 @@
 use crate::clock::millis;
 use crate::connection::{Connection, Progress};
 use crate::discovery::List;
+use crate::pool::Pool;
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
 use doorcourse_simhost::set_load;
@@ -100,8 +101,8 @@
     ready: bool,
     /// When it last answered anything.
     heard: Instant,
-    /// Free connections, the one used last at the end, and since when.
-    idle: Vec<(Connection, Instant)>,
+    /// The last list that told of it.
+    told: u64,
 }
 
 /// How often connections break under a request before anything comes back: new ones, and kept ones by how long
@@ -150,6 +151,10 @@
 /// All backends that this gateway knows.
 pub struct Backends {
     known: RefCell<HashMap<Name, Backend>>,
+    /// Free connections.
+    pool: RefCell<Pool<Connection>>,
+    /// How many lists were taken in.
+    lists: Cell<u64>,
     connect_timeout: Duration,
     longest_idle: Duration,
     reports: Reports,
@@ -165,6 +170,8 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             known: RefCell::default(),
+            pool: RefCell::default(),
+            lists: Cell::default(),
             connect_timeout,
             longest_idle: backend_idle.mul_f64(IDLE_SHARE),
             reports,
@@ -174,28 +181,34 @@
         })
     }
 
-    /// Takes in a list. Free connections to what drains, is gone or listens elsewhere now are dropped.
+    /// Takes in a list, in time that follows its length; if it is whole, that of the last whole one too. Free
+    /// connections to what drains, is gone or listens elsewhere now are dropped.
     pub fn update(&self, list: &List) {
-        let mut known = self.known.borrow_mut();
-        if list.whole {
-            known.retain(|name, _| list.hosts.iter().any(|h| h.entry.name == *name));
-        }
+        let (mut known, mut pool) = (self.known.borrow_mut(), self.pool.borrow_mut());
+        let (told, heard) = (self.lists.get() + 1, Instant::now());
+        self.lists.set(told);
         for host in &list.hosts {
+            let (name, dial) = (&host.entry.name, host.dial);
             if host.entry.state == BackendState::Gone {
-                known.remove(&host.entry.name);
+                known.remove(name);
+                pool.clear(name);
                 continue;
             }
             let ready = host.entry.state == BackendState::Ready;
-            let backend = known.entry(host.entry.name.clone()).or_insert_with(|| Backend {
-                dial: host.dial,
-                ready,
-                heard: Instant::now(),
-                idle: Vec::new(),
-            });
-            if !ready || backend.dial != host.dial {
-                backend.idle.clear();
+            let backend = known.entry(name.clone()).or_insert(Backend { dial, ready, heard, told });
+            if !ready || backend.dial != dial {
+                pool.clear(name);
             }
-            (backend.ready, backend.dial) = (ready, host.dial);
+            (backend.ready, backend.dial, backend.told) = (ready, dial, told);
+        }
+        if list.whole {
+            known.retain(|name, backend| {
+                let stays = backend.told == told;
+                if !stays {
+                    pool.clear(name);
+                }
+                stays
+            });
         }
     }
 
@@ -203,11 +216,10 @@
     pub async fn keep_tidy(self: Rc<Self>) {
         loop {
             sleep(ROUND).await;
-            for backend in self.known.borrow_mut().values_mut() {
-                backend.idle.retain(|(connection, since)| {
-                    since.elapsed() < self.longest_idle && connection.is_alive()
-                });
-            }
+            let stays = |connection: &Connection, since: Instant| {
+                since.elapsed() < self.longest_idle && connection.is_alive()
+            };
+            self.pool.borrow_mut().retain(stays);
         }
     }
 
@@ -250,9 +262,8 @@
     /// request into doubt until its time is over. A new one fails soon and for certain. A backend that has
     /// answered anything since is merely slow.
     fn doubt(&self, name: &Name, since: Instant) {
-        let mut known = self.known.borrow_mut();
-        if let Some(backend) = known.get_mut(name).filter(|b| b.heard < since) {
-            backend.idle.clear();
+        if self.known.borrow().get(name).is_some_and(|b| b.heard < since) {
+            self.pool.borrow_mut().clear(name);
         }
     }
 
@@ -321,20 +332,18 @@
     fn free_connection(
         &self, name: &Name, repeatable: bool,
     ) -> Option<(SocketAddr, Option<(Connection, Duration)>)> {
-        let mut known = self.known.borrow_mut();
-        let backend = known.get_mut(name).filter(|b| b.ready)?;
-        // Those that still rest are at the end.
-        while let Some(at) = backend.idle.iter().rposition(|(_, since)| since.elapsed() >= QUARANTINE) {
-            let (connection, since) = backend.idle.remove(at);
+        let dial = self.dial(name)?;
+        let mut pool = self.pool.borrow_mut();
+        while let Some((connection, since)) = pool.take(name, QUARANTINE) {
             // Guards unsafe requests: one written to a connection that is closed or about to be is lost in
             // doubt.
             let idle = since.elapsed();
             let trusted = idle < self.longest_idle && connection.is_alive();
             if trusted && self.stale.borrow_mut().allows_reuse(idle, repeatable) {
-                return Some((backend.dial, Some((connection, idle))));
+                return Some((dial, Some((connection, idle))));
             }
         }
-        Some((backend.dial, None))
+        Some((dial, None))
     }
 
     /// Room for one more busy connection; free ones give way.
@@ -344,13 +353,9 @@
             return None;
         }
         self.busy.set(busy + 1);
-        let mut known = self.known.borrow_mut();
-        let idle: usize = known.values().map(|b| b.idle.len()).sum();
-        for _ in self.most_open..busy + 1 + idle {
-            let fullest = known.values_mut().max_by_key(|b| b.idle.len());
-            if let Some(fullest) = fullest.filter(|b| !b.idle.is_empty()) {
-                fullest.idle.remove(0);
-            }
+        let mut pool = self.pool.borrow_mut();
+        for _ in self.most_open..busy + 1 + pool.len() {
+            pool.evict();
         }
         Some(Slot(self.busy.clone()))
     }
@@ -360,9 +365,9 @@
         let mut known = self.known.borrow_mut();
         if let Some(backend) = known.get_mut(name).filter(|b| b.dial == dial) {
             backend.heard = Instant::now();
-            backend
-                .idle
-                .extend(connection.filter(|_| backend.ready).map(|connection| (connection, backend.heard)));
+            if let Some(connection) = connection.filter(|_| backend.ready) {
+                self.pool.borrow_mut().put(name, connection, backend.heard);
+            }
         }
     }
 
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -5,11 +5,12 @@
 use crate::connection::{Connection, Progress};
 use crate::engine::Engine;
 use bytes::Bytes;
-use doorcourse::{BackendEntry, BackendState, Event};
+use doorcourse::{BackendEntry, BackendState, Event, Name};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
+use std::borrow::Cow;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,8 +18,11 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
+/// The most backends that a list has room for, and the bytes of one at most, indented as it may be.
+const MOST_HOSTS: usize = 1 << 15;
+const LONGEST_HOST: usize = 512;
 /// The longest list that is read.
-const LONGEST: usize = 1 << 20;
+const LONGEST: usize = MOST_HOSTS * LONGEST_HOST;
 
 /// A list that cannot be used.
 #[derive(Debug)]
@@ -41,18 +45,21 @@
 impl std::error::Error for ListError {}
 
 #[derive(Deserialize)]
-struct Sheet {
+struct Sheet<'a> {
     seq: u64,
     whole: bool,
-    hosts: Vec<Row>,
+    #[serde(borrow)]
+    hosts: Vec<Row<'a>>,
 }
 
 #[derive(Deserialize)]
-struct Row {
-    host: String,
-    dial: String,
-    #[serde(default)]
-    site: String,
+struct Row<'a> {
+    #[serde(borrow)]
+    host: Cow<'a, str>,
+    #[serde(borrow)]
+    dial: Cow<'a, str>,
+    #[serde(borrow, default)]
+    site: Cow<'a, str>,
     #[serde(default)]
     block: u64,
     health: Health,
@@ -105,9 +112,10 @@
         Sheet::deserialize(value).map_err(ListError::Malformed).and_then(Self::from_sheet)
     }
 
-    fn from_sheet(sheet: Sheet) -> Result<Self, ListError> {
+    fn from_sheet(sheet: Sheet<'_>) -> Result<Self, ListError> {
+        let mut zone = Name::from("");
         let hosts = sheet.hosts.into_iter().map(|row| {
-            let dial = row.dial.parse().map_err(|_| ListError::Address(row.host.clone()))?;
+            let Ok(dial) = row.dial.parse() else { return Err(ListError::Address(row.host.into())) };
             let state = match row.health {
                 Health::InService => BackendState::Ready,
                 Health::Terminating => BackendState::Draining,
@@ -115,7 +123,11 @@
             };
             // 0 stands for a start long ago, of which nothing is known.
             let started = (row.born_ms > 0.0).then_some(row.born_ms);
-            let (name, zone) = (row.host.into(), row.site.into());
+            // Neighbours mostly share their zone's name.
+            if *zone != *row.site {
+                zone = row.site.into();
+            }
+            let (name, zone) = (row.host.into(), zone.clone());
             Ok(Host { entry: BackendEntry { name, zone, cell: row.block, state, started }, dial })
         });
         Ok(Self { seq: sheet.seq, whole: sheet.whole, hosts: hosts.collect::<Result<_, _>>()? })
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod counter;
 pub mod discovery;
 pub mod engine;
+pub mod pool;
 pub mod socket;
--- /dev/null
+++ b/gateway/src/pool.rs
@@ -0,0 +1,73 @@
+//! Idle connections, by backend: its cost follows the connections that are kept, not the backends that are known.
+
+use doorcourse::Name;
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Idle connections to backends, of any kind.
+pub struct Pool<T> {
+    /// Those of one backend in the order in which they came, and since when each is idle. Never empty.
+    idle: HashMap<Name, Vec<(T, Instant)>>,
+    count: usize,
+}
+
+impl<T> Default for Pool<T> {
+    fn default() -> Self {
+        Self { idle: HashMap::new(), count: 0 }
+    }
+}
+
+impl<T> Pool<T> {
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Keeps a connection that is idle since then.
+    pub fn put(&mut self, backend: &Name, connection: T, since: Instant) {
+        self.idle.entry(backend.clone()).or_default().push((connection, since));
+        self.count += 1;
+    }
+
+    /// Takes out the connection to a backend that came last of those that have been idle for at least `rest`.
+    pub fn take(&mut self, backend: &Name, rest: Duration) -> Option<(T, Instant)> {
+        let at = self.idle.get(backend)?.iter().rposition(|(_, since)| since.elapsed() >= rest)?;
+        self.remove(backend, at)
+    }
+
+    /// Drops all connections to a backend.
+    pub fn clear(&mut self, backend: &Name) {
+        self.count -= self.idle.remove(backend).map_or(0, |idle| idle.len());
+    }
+
+    /// Drops the oldest connection to the backend with the most, if there are any.
+    pub fn evict(&mut self) {
+        let fullest = self.idle.iter().max_by_key(|(_, idle)| idle.len()).map(|(name, _)| name.clone());
+        fullest.and_then(|name| self.remove(&name, 0));
+    }
+
+    fn remove(&mut self, backend: &Name, at: usize) -> Option<(T, Instant)> {
+        let idle = self.idle.get_mut(backend)?;
+        let removed = idle.remove(at);
+        if idle.is_empty() {
+            self.idle.remove(backend);
+        }
+        self.count -= 1;
+        Some(removed)
+    }
+
+    /// Drops those of which `keep` says so, given each and since when it is idle.
+    pub fn retain(&mut self, keep: impl Fn(&T, Instant) -> bool) {
+        self.idle.retain(|_, idle| {
+            idle.retain(|(connection, since)| keep(connection, *since));
+            !idle.is_empty()
+        });
+        self.count = self.idle.values().map(Vec::len).sum();
+    }
+}
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -210,3 +210,14 @@
         assert!(took < TOLD, "{took:?}: {slow:?}");
     }
 }
+
+#[test]
+fn a_list_of_the_whole_fleet_to_come_is_taken_in_also_indented() {
+    let at = "127.0.0.1:9".parse().expect("an address");
+    let rows: Vec<_> = (0..26_000).map(|n| row(&format!("s-{n:08x}"), at, "in_service")).collect();
+    for rows in [&rows[..], &rows[..100]] {
+        let text = list(7, true, rows).replace(',', ",\r\n        ").replace('{', "{\r\n        ");
+        let took = told_after(Pace::ASKING, 1, &[Do::SayLater(20, ok(&text))], 1);
+        assert!(took < TOLD, "{took:?} for {} bytes", text.len());
+    }
+}
