Refuse lists with nameless backends, and force what else a spoilt list may hold

An entry with an empty name was taken as a backend; now such a list cannot be read, as one without an address. Of two entries for one backend the last counts, for connections and decisions alike.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
 /// The most backends that a list has room for, and the bytes of one at most, indented as it may be.
@@ -29,6 +30,8 @@
 pub enum ListError {
     /// It is not JSON of the right form.
     Malformed(serde_json::Error),
+    /// An entry has no name.
+    Unnamed,
     /// An entry has no usable address.
     Address(String),
 }
@@ -37,6 +40,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Malformed(error) => write!(f, "malformed list of backends: {error}"),
+            Self::Unnamed => write!(f, "a backend has no name"),
             Self::Address(host) => write!(f, "backend {host} has no usable address"),
         }
     }
@@ -91,7 +95,7 @@
     pub seq: u64,
     /// Whether backends that are missing are gone.
     pub whole: bool,
-    /// The entries.
+    /// The entries; of several for one backend the last counts.
     pub hosts: Vec<Host>,
 }
 
@@ -115,6 +119,9 @@
     fn from_sheet(sheet: Sheet<'_>) -> Result<Self, ListError> {
         let mut zone = Name::from("");
         let hosts = sheet.hosts.into_iter().map(|row| {
+            if row.host.is_empty() {
+                return Err(ListError::Unnamed);
+            }
             let Ok(dial) = row.dial.parse() else { return Err(ListError::Address(row.host.into())) };
             let state = match row.health {
                 Health::InService => BackendState::Ready,
@@ -249,6 +256,8 @@
             Ok(Err(_)) => return Fault::Lost("the connection broke"),
             Err(_) => return Fault::Silent,
         };
+        // Reading a list and working by it are two steps, and what is due meanwhile comes between.
+        yield_now().await;
         match list {
             Ok(list) => {
                 *seq = Some(list.seq);
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -6,7 +6,7 @@
 use doorcourse_simhost::settings;
 use fennelscale::backends::Backends;
 use fennelscale::backoff::{CONNECT_TIMEOUT, Failure, Pace, Retry};
-use fennelscale::discovery;
+use fennelscale::discovery::{self, List};
 use fennelscale::engine::Engine;
 use helper::{Backend, Do, list, ok, row};
 use std::time::Duration;
@@ -221,3 +221,42 @@
         assert!(took < TOLD, "{took:?} for {} bytes", text.len());
     }
 }
+
+#[test]
+fn a_list_is_read_whole_or_not_at_all() {
+    let at = "127.0.0.1:9".parse().expect("an address");
+    let good = list(7, true, &[row("a", at, "in_service"), row("b", at, "terminating")]);
+    let read = List::parse(good.as_bytes()).expect("a list");
+    assert_eq!((read.seq, read.whole, read.hosts.len()), (7, true, 2));
+    for (part, spoilt) in [
+        (r#""seq":7"#, r#""seq":-7"#),
+        (r#""seq":7"#, r#""seq":7.5"#),
+        (r#""seq":7"#, r#""seq":99999999999999999999"#),
+        (r#""seq":7,"#, ""),
+        (r#""whole":true"#, r#""whole":"true""#),
+        (r#""whole":true,"#, ""),
+        ("terminating", "resting"),
+        (r#""host":"b""#, r#""host":"""#),
+        (r#""host":"b","#, ""),
+        (r#""host":"b""#, "\"host\":\"\u{1}\""),
+        ("127.0.0.1:9", "127.0.0.1"),
+        ("127.0.0.1:9", "127.0.0.1:99999"),
+        ("127.0.0.1:9", "b.internal:9"),
+        (r#""born_ms":0"#, r#""born_ms":1e999"#),
+        (r#""born_ms":0"#, r#""born_ms":"0""#),
+        (r#""block":0"#, r#""block":-1"#),
+        ("]}", "]"),
+        ("]}", "]}]"),
+        ("]}", ",]}"),
+        (good.as_str(), ""),
+        (good.as_str(), "null"),
+    ] {
+        let text = good.replace(part, spoilt);
+        assert_ne!(text, good);
+        assert!(List::parse(text.as_bytes()).is_err(), "{text}");
+    }
+    let mut bytes = good.into_bytes();
+    let name = bytes.iter().position(|b| *b == b'b').expect("a letter");
+    bytes[name] = 0xff;
+    assert!(List::parse(&bytes).is_err());
+}
