Tell in the fleet model's result how many attempts leave their zone and their region

Cause: a subset has to respect zones, and nothing in the result showed whether it does.

Change: two shares.

--- a/fleet/src/report.rs
+++ b/fleet/src/report.rs
@@ -46,6 +46,8 @@
     pub(crate) attempts: u64,
     pub(crate) attempts_ended: u64,
     pub(crate) handshakes: u64,
+    /// Attempts to another zone, also one of another region, and those among them to another region.
+    pub(crate) across: [u64; 2],
     pub(crate) second_answers: u64,
     pub(crate) stray: u64,
     pub(crate) sent_to_drained: u64,
@@ -74,6 +76,7 @@
             attempts: 0,
             attempts_ended: 0,
             handshakes: 0,
+            across: [0; 2],
             second_answers: 0,
             stray: 0,
             sent_to_drained: 0,
@@ -313,6 +316,10 @@
     pub handshakes: u64,
     /// For each attempt.
     pub handshakes_per_attempt: f64,
+    /// The share of attempts that left their gateway's zone.
+    pub across_zones_share: f64,
+    /// The share of attempts that left their gateway's region.
+    pub across_regions_share: f64,
     /// What must hold in every run.
     pub invariants: Vec<Invariant>,
 }
@@ -416,6 +423,8 @@
             attempts_per_request: share(tally.attempts, tally.offered),
             handshakes: tally.handshakes,
             handshakes_per_attempt: share(tally.handshakes, tally.attempts),
+            across_zones_share: share(tally.across[0], tally.attempts),
+            across_regions_share: share(tally.across[1], tally.attempts),
             invariants,
         }
     }
@@ -518,6 +527,10 @@
             "attempts a try; handshakes an attempt",
             format!("{:.3}; {:.3}", self.attempts_per_request, self.handshakes_per_attempt),
         );
+        line(
+            "attempts across zones; across regions",
+            format!("{:.1}%; {:.1}%", 100.0 * self.across_zones_share, 100.0 * self.across_regions_share),
+        );
         for invariant in &self.invariants {
             let word = if invariant.held { "held" } else { "BROKEN" };
             line(invariant.name, format!("{word} ({}, at most {})", invariant.figure, invariant.most));
--- a/fleet/src/world.rs
+++ b/fleet/src/world.rs
@@ -438,7 +438,9 @@
         }
         let idle = (self.experiment.servers.idle_s * 1e6) as u64;
         let pooled = self.hosts[gateway as usize].free_connection(number, self.now, idle);
-        let way = self.way(self.hosts[gateway as usize].zone, self.servers.all[server].zone);
+        let (home, zone) = (self.hosts[gateway as usize].zone, self.servers.all[server].zone);
+        let way = self.way(home, zone);
+        let zones = self.experiment.fleet.zones;
         let (mut handshake, mut extra) = (0, 0.0);
         if !pooled {
             handshake = way * 2 * u64::from(self.experiment.servers.handshake_trips);
@@ -451,6 +453,8 @@
         if sent.ask.counted {
             self.tally.attempts += 1;
             self.tally.handshakes += u64::from(!pooled);
+            self.tally.across[0] += u64::from(home != zone);
+            self.tally.across[1] += u64::from(home / zones != zone / zones);
         }
         let job = Job { id, attempt, gateway, work: sent.ask.work + extra };
         self.plan(self.now + handshake + way, Happening::Reach { server: number, job });
