--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -296,7 +296,8 @@
 
 #[test]
 fn many_cold_servers_at_once_stay_under_their_budgets() {
-    hold(&[Case { cold: 0.1, ..CASE }, Case { cold: 0.5, ..CASE }]);
+    let half = Case { cold: 0.5, ..CASE };
+    hold(&[Case { cold: 0.1, ..CASE }, half, Case { traffic: Traffic::Eightfold, ..half }]);
 }
 
 #[test]
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -254,3 +254,28 @@
         assert!(answers > 250, "{what}: the stream must reach the answers it checks: {answers}");
     }
 }
+
+#[test]
+fn rules_hold_with_settings_drawn_at_random() {
+    for seed in [18, 68, 77, 84, 98, 101, 102, 103] {
+        let mut random = Random(seed * 7919 + 13);
+        let mut draw = |list: &[f64]| list[random.below(list.len() as u64) as usize];
+        let mut set = settings();
+        set.gateways = draw(&[1.0, 2.0, 30.0, 300.0, 3100.0]) as u32;
+        (set.tick, set.counter) = (draw(&[0.0, 4.0, 50.0]), draw(&[1.0, 1.0, 0.0]) > 0.0);
+        (set.counter_timeout, set.connect_timeout) = (draw(&[0.0, 50.0, 500.0]), draw(&[0.0, 250.0]));
+        (set.most_attempts, set.cold_time) = (draw(&[0.0, 1.0, 4.0, 9.0]) as u32, draw(&[0.0, 18_000.0]));
+        (set.settles, set.peers) = (draw(&[0.0, 1.0]) > 0.0, draw(&[0.0, 1.0]) > 0.0);
+        for class in &mut set.classes {
+            (class.aim, class.memory) =
+                (draw(&[0.0, 50.0, 800.0, 5000.0]), draw(&[0.0, 3.0, 260.0, 600.0, 4000.0]));
+            class.worth = draw(&[0.0, 1.0, 8.0]);
+        }
+        set.classes[1].group = if draw(&[0.0, 1.0]) > 0.0 { Group::All } else { Group::Cell };
+        for plan in &mut set.plans {
+            (plan.rate, plan.burst) = (draw(&[0.0, 0.5, 5.0, 50.0]), draw(&[5.0, 10.0, 100.0]));
+        }
+        let answers = play(seed, set, 2500);
+        assert!(answers > 400, "seed {seed}: the stream must reach the answers it checks: {answers}");
+    }
+}
