Let only first attempts go to cold backends, and draw a request's sample of its subset once

Change: the sample comes from the request's number and the attempt's; a cold backend may be chosen for the first attempt.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -237,6 +237,14 @@
     sent_at: Millis,
 }
 
+/// Chance in one choice among backends: a number drawn for each choice, and one drawn once for a request
+/// that may still go to a cold one.
+#[derive(Clone, Copy)]
+struct Draws {
+    each: u64,
+    cold: Option<u64>,
+}
+
 /// Whether each gateway sees too little of a backend: choice goes by chance and by all answers together,
 /// and each keeps to a subset.
 fn many(gateways: u32) -> bool {
@@ -336,17 +344,13 @@
         }
     }
 
-    fn many(&self) -> bool {
-        many(self.settings.gateways)
-    }
-
     /// Guards a large fleet against overload: while too many answers are late, fewer fresh ones are taken,
     /// those worth less first.
     fn taken(&mut self, class: usize, blind: bool) -> bool {
         let classes = &self.settings.classes;
         let mean = classes.iter().map(|c| c.worth).sum::<f64>() / classes.len() as f64;
         let rank = mean / classes[class].worth.max(1e-9) * if blind { BLIND_RANK } else { 1.0 };
-        let taken = !self.many() || self.chance() < self.take.powf(rank);
+        let taken = !many(self.settings.gateways) || self.chance() < self.take.powf(rank);
         if !taken {
             self.take = (self.take * (1.0 + TAKE_AGAIN)).min(1.0);
         }
@@ -635,43 +639,43 @@
         if self.backends.out() >= self.room() {
             return None;
         }
-        let many = self.many();
+        let many = many(self.settings.gateways);
         let request = self.requests.get(&id)?;
         let class = &self.settings.classes[request.class];
         let tied = request.may_have_run.as_ref().filter(|_| class.effect == Effect::Keyed);
-        let salt = self.random;
+        // What a request draws once does not change as it looks again: not the sample, and not for cold ones.
+        let lot = mix(self.seed ^ id);
+        let (first, sample_at) = (request.attempts == 0, mix(!lot ^ u64::from(request.attempts)));
+        let draws = Draws { each: self.random, cold: first.then_some(lot) };
         let subset = self.backends.subset();
         let (own, reserve, ready) = (subset.chosen(), subset.reserve(), subset.ready());
         // Cold ones get their share from those whose own they are, and no more.
         let stand_by = reserve.iter().map(|slot| (*slot, f64::INFINITY));
+        let any = |slot| (slot, ready as f64);
         let chosen = match (tied, class.group) {
-            (Some((_, zone, _)), Group::Zone) => {
-                self.choose(subset.of_zone(zone).map(|slot| (slot, ready as f64)), id, class, salt)
-            }
+            (Some((_, zone, _)), Group::Zone) => self.choose(subset.of_zone(zone).map(any), class, draws),
             (Some((.., cell)), Group::Cell) => {
-                self.choose(subset.of_cell(*cell).iter().map(|slot| (*slot, ready as f64)), id, class, salt)
+                self.choose(subset.of_cell(*cell).iter().copied().map(any), class, draws)
             }
             _ => {
                 let sample = own.len().min(if many { SAMPLE } else { SAMPLE_OF_FEW });
-                let start = if sample < own.len() { (unit(!salt) * own.len() as f64) as usize } else { 0 };
+                let start = (unit(sample_at) * own.len() as f64) as usize;
                 let drawn = own.iter().cycle().skip(start).take(sample);
-                // Who stands by takes over only where none of these is left: else each trouble of one would open
-                // connections to others, from all gateways alike.
-                let own = self.choose(drawn.map(|slot| (*slot, sample as f64)), id, class, salt);
-                own.or_else(|| self.choose(stand_by, id, class, salt))
+                // Who stands by takes over only where none of these is left: else each trouble of one would
+                // open connections to others, from all gateways alike.
+                let own = self.choose(drawn.map(|slot| (*slot, sample as f64)), class, draws);
+                own.or_else(|| self.choose(stand_by, class, draws))
             }
         };
         self.chance();
         chosen
     }
 
-    /// Of these the one with the fewest requests of this gateway, near if equal; each comes with the number of
-    /// those that it is one of, and a cold one is taken with odds of its part in so many.
-    fn choose(
-        &self, of: impl IntoIterator<Item = (Slot, f64)>, id: RequestId, class: &Class, salt: u64,
-    ) -> Option<Slot> {
+    /// Of these the one with the fewest requests of this gateway, near if equal; each comes with the number
+    /// of those that it is one of, and a cold one is taken with odds of its part in so many.
+    fn choose(&self, of: impl IntoIterator<Item = (Slot, f64)>, class: &Class, draws: Draws) -> Option<Slot> {
         let far = 1.0 + self.settings.price_cross_zone * ZONE_BIAS;
-        let many = self.many();
+        let many = many(self.settings.gateways);
         let mut best: Option<(f64, Slot)> = None;
         for (slot, odds) in of {
             let backend = self.backends.get(slot);
@@ -679,11 +683,12 @@
             if full || self.now < backend.eject_until {
                 continue;
             }
-            let luck = unit(salt ^ backend.salt);
+            let luck = unit(draws.each ^ backend.salt);
             let warmth = backend.warmth(self.now, &self.settings);
-            // Guards cold backends with no agreement: by chance their share of an even part, from the start. One
-            // draw for each request: one that waits, or fails elsewhere, has no better odds the more it looks.
-            let drawn = unit(mix(self.seed ^ id) ^ backend.salt);
+            // Guards cold backends with no agreement: by chance their share of an even part, from the
+            // start. One draw for each request, for its first attempt alone: one that waits, or fails, has
+            // no better odds the more it looks.
+            let drawn = draws.cold.map_or(f64::INFINITY, |lot| unit(lot ^ backend.salt));
             let part = (COLD_MULTIPLE * warmth * (warmth + COLD_LEAST)).min(1.0);
             let score = if warmth >= 1.0 {
                 // Among many, a draw by weight: no two gateways follow the same order.
@@ -740,7 +745,8 @@
     fn on_attempt(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
         let (id, outcome) = (end.id, end.outcome);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        // A customer that was idle for long enough has been forgotten; its request is owed an answer all the same.
+        // A customer that was idle for long enough has been forgotten; its request is owed an answer all
+        // the same.
         let mut customer = self.customers.get_mut(&request.customer);
         if let (Some(customer), Some(true_units)) = (&mut customer, end.true_units)
             && outcome == Outcome::Served
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -269,11 +269,16 @@
     }
 }
 
-/// Plays cases with few gateways and with hundreds, prints the worst ratio of each and holds it under 1.
+/// Plays cases with few gateways and with hundreds.
 fn hold(cases: &[Case]) {
+    hold_at(&[(2, 10), (5, 10), (20, 20), (30, 20), (300, 30)], cases);
+}
+
+/// Plays cases with so many gateways and servers, prints the worst ratio of each and holds it under 1.
+fn hold_at(sizes: &[(u32, usize)], cases: &[Case]) {
     let mut over = Vec::new();
     for case in cases {
-        for (gateways, servers) in [(2, 10), (5, 10), (20, 20), (30, 20), (300, 30)] {
+        for &(gateways, servers) in sizes {
             let mut fleet = Fleet::new(Case { gateways, servers, ..*case });
             fleet.play();
             let (worst, cold) = (fleet.worst(), fleet.sent.values().map(Vec::len).sum::<usize>());
@@ -328,3 +333,15 @@
 fn cold_servers_stay_under_their_budgets_while_the_counter_is_silent() {
     hold(&[Case { counter: false, cold: 0.1, ..CASE }]);
 }
+
+#[test]
+fn who_looks_at_some_of_its_servers_at_a_time_gets_no_more_to_cold_ones_by_looking_again() {
+    let lost = Case { cold: 0.3, fails: (Outcome::ConnectFailed, 1.0), ..CASE };
+    hold_at(&[(20, 60)], &[Case { cold: 1.0, back: true, ..CASE }, lost]);
+}
+
+#[test]
+fn further_attempts_add_nothing_at_cold_servers_where_many_are_cold() {
+    let errors = Case { fails: (Outcome::Error, 0.3), ..CASE };
+    hold(&[Case { cold: 0.5, ..errors }, Case { cold: 1.0, back: true, ..errors }]);
+}
