Take the usual time-outs where settings name none or 0, for sockets and decisions alike

Cause: `Config::read` gave the sockets 250 ms to connect where `dial-timeout-ms` was absent, and the decisions 0, so that a keyed repeat could be written up to 250 ms past the time in which it is dropped; and `count-limit-ms` 0 made the counter's patience 0 (`Engine::start`), so that every call was given up at once. Found by reading, with the tests of absent settings. Change: `Config::parse` gives both the same.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,7 +1,7 @@
 //! What a gateway is told at its start: the environment and the file that `NODE_CONFIG` names.
 
 use crate::backoff::Pace;
-use crate::clock::span;
+use crate::clock::{millis, span};
 use crate::discovery::{List, ListError};
 use doorcourse::Settings;
 use doorcourse_simhost::settings::{self, Object};
@@ -14,6 +14,7 @@
 /// Used where the settings name no such time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const BACKEND_IDLE: Duration = Duration::from_secs(15);
+const COUNTER_TIMEOUT: Duration = Duration::from_millis(50);
 /// Used where the configuration names no limit.
 const SOCKETS: usize = 1024;
 
@@ -121,12 +122,23 @@
     fn read(choose: impl Fn(Option<String>, Option<String>) -> Option<String>) -> Result<Self, ConfigError> {
         let path = std::env::var_os("NODE_CONFIG").ok_or(ConfigError::NoFile)?;
         let text = std::fs::read_to_string(path).map_err(ConfigError::Unreadable)?;
-        let choose = |key, file| choose(std::env::var(key).ok(), file);
-        let file: File = serde_json::from_str(&text).map_err(ConfigError::Malformed)?;
+        Self::parse(&text, |key, file| choose(std::env::var(key).ok(), file))
+    }
+
+    /// Reads the text of a configuration file. `choose` gets the name of a variable and what the file has in its
+    /// place, and tells what counts. Times that the settings do not name or name as 0 are the usual ones, for
+    /// sockets and decisions alike.
+    ///
+    /// # Errors
+    /// When it cannot be used.
+    pub fn parse(
+        text: &str, choose: impl Fn(&str, Option<String>) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
         let address = |text: Option<String>, which| {
             text.and_then(|t| t.parse::<SocketAddr>().ok()).ok_or(ConfigError::Address(which))
         };
-        let settings = settings::read(&file.settings).map_err(ConfigError::Settings)?;
+        let mut settings = settings::read(&file.settings).map_err(ConfigError::Settings)?;
         let permissions = Object::of(&file.settings, "permissions").map_err(ConfigError::Settings)?;
         let time = |key, usual| match permissions.number(key).map_err(ConfigError::Settings)? {
             ms if ms > 0.0 => Ok(span(ms)),
@@ -139,6 +151,11 @@
             Value::Null => List { seq: 0, whole: true, hosts: Vec::new() },
             value => List::from_value(value).map_err(ConfigError::Known)?,
         };
+        let connect_timeout = time("dial-timeout-ms", CONNECT_TIMEOUT)?;
+        settings.connect_timeout = millis(connect_timeout);
+        if settings.counter_timeout <= 0.0 {
+            settings.counter_timeout = millis(COUNTER_TIMEOUT);
+        }
         let counter = settings.counter.then(|| address(file.counter, "counter")).transpose()?;
         Ok(Self {
             name: choose("NODE_NAME", Some(file.name)).unwrap_or_default(),
@@ -149,7 +166,7 @@
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
             known,
-            connect_timeout: time("dial-timeout-ms", CONNECT_TIMEOUT)?,
+            connect_timeout,
             backend_idle: time("keepalive-ms", BACKEND_IDLE)?,
             settings,
         })
