Ask the client's socket before an attempt's first byte: who has gone is sent on nowhere

Cause: an end behind bytes that nobody reads was looked for every 50 ms (LOOK), and an attempt was begun before the end was heard where both came in one turn of the event loop: `attempt` polls the exchange before the call-off, so also with no bytes behind a connection that came up late was written to.

Change: `Socket::left` waits for the one interest that an end meets and bytes don't, so no interval is left; `Socket::has_left` asks the kernel, and where unread bytes hide an end lets the event loop turn first. An attempt looks once more before its first byte: client, call-off, time. A client found gone is told to the decisions at once.

Late connections whose list changed, whose time was over or whose request was answered elsewhere: sound as they were.

--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -4,6 +4,7 @@
 use crate::connection::{Connection, Progress};
 use crate::discovery::List;
 use crate::pool::Pool;
+use crate::socket::Socket;
 use bytes::Bytes;
 use doorcourse::{BackendState, LoadReport, Name, Outcome, Reports};
 use doorcourse_simhost::set_load;
@@ -14,8 +15,9 @@
 use hyper::{Method, Request, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -224,9 +226,11 @@
     }
 
     /// Sends a request to a backend and tells how that ended, once its connection is closed or free again.
-    /// It ends at `until` at the latest, or when `called_off` resolves.
+    /// It ends at `until` at the latest, or when `called_off` resolves, and nothing is written from then on, nor
+    /// once the `client` has left.
     pub async fn attempt(
         &self, name: &Name, message: Message, until: Instant, called_off: oneshot::Receiver<()>,
+        client: &Socket,
     ) -> End {
         let build = |dial: SocketAddr| {
             let left = until.saturating_duration_since(Instant::now());
@@ -244,12 +248,22 @@
             (builder, message.body.clone())
         };
         let repeatable = message.method.is_safe() || message.key.is_some();
-        let begun = Instant::now();
+        let (begun, called_off) = (Instant::now(), RefCell::new(called_off));
+        // Guards what was waited for with a connection: the wait's end and its reason's may come in one turn.
+        let may_begin = async || {
+            if client.has_left().await || called_off.borrow_mut().try_recv().is_ok() {
+                return Err(Outcome::CalledOff);
+            }
+            if Instant::now() < until { Ok(()) } else { Err(Outcome::TimedOut) }
+        };
+        let call = poll_fn(|cx| Pin::new(&mut *called_off.borrow_mut()).poll(cx));
         // Each arm ends the exchange, which closes its connection, before the end is told.
         let end = tokio::select! {
             biased;
-            answer = self.exchange(name, repeatable, build) => answer.map_or_else(End::from, |a| self.judge(a)),
-            _ = called_off => Outcome::CalledOff.into(),
+            answer = self.exchange(name, repeatable, may_begin, build) => {
+                answer.map_or_else(End::from, |answer| self.judge(answer))
+            }
+            _ = call => Outcome::CalledOff.into(),
             () = sleep_until(until) => Outcome::TimedOut.into(),
         };
         if end.outcome == Outcome::TimedOut {
@@ -271,7 +285,9 @@
     pub async fn probe(&self, name: &Name) -> End {
         let path = if self.reports == Reports::None { "/alive" } else { "/metrics/load" };
         let build = |dial: SocketAddr| (Request::get(path).header("Host", dial.to_string()), Bytes::new());
-        match tokio::time::timeout(self.connect_timeout, self.exchange(name, true, build)).await {
+        match tokio::time::timeout(self.connect_timeout, self.exchange(name, true, async || Ok(()), build))
+            .await
+        {
             Ok(Ok((head, body))) if head.status == StatusCode::OK => {
                 let load = std::str::from_utf8(&body).ok().and_then(load);
                 End { outcome: Outcome::Served, answer: None, load }
@@ -283,7 +299,8 @@
     }
 
     async fn exchange(
-        &self, name: &Name, repeatable: bool, build: impl Fn(SocketAddr) -> (Builder, Bytes),
+        &self, name: &Name, repeatable: bool, may_begin: impl AsyncFn() -> Result<(), Outcome>,
+        build: impl Fn(SocketAddr) -> (Builder, Bytes),
     ) -> Result<(response::Parts, Bytes), Outcome> {
         loop {
             let (dial, pooled) = self.free_connection(name, repeatable).ok_or(Outcome::NeverSent)?;
@@ -295,6 +312,7 @@
                     .await
                     .map_err(|_| Outcome::ConnectFailed)?,
             };
+            may_begin().await?;
             // Guards drains: while the connection came up the list may have changed.
             if self.dial(name) != Some(dial) {
                 return Err(Outcome::NeverSent);
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -395,7 +395,7 @@
                             last = true;
                             plain(StatusCode::BAD_REQUEST, "the client left\n")
                         }
-                        response = self.decide(parsed) => response,
+                        response = self.decide(parsed, client.socket.clone()) => response,
                     }
                 }
                 Err(error) => {
@@ -525,7 +525,7 @@
         (units > 0.0 && units <= most).then_some((units, spread, first.filter(|f| *f < self.gateways)?))
     }
 
-    async fn decide(&self, parsed: ParsedRequest) -> Response<Full<Bytes>> {
+    async fn decide(&self, parsed: ParsedRequest, client: Socket) -> Response<Full<Bytes>> {
         let ParsedRequest { class, plan, customer, units, spread, first, repeat, patience, message } = parsed;
         let margin = MARGIN.min(patience.mul_f64(MARGIN_SHARE));
         let (patience, now) = (patience - margin, Instant::now());
@@ -533,6 +533,7 @@
         let (id, reply) = self.engine.open(
             |id| Arrival { id, customer, plan, class, units, repeat, patience: patience_ms, first, spread },
             message,
+            client,
             now + patience,
         );
         let waiting = Waiting { engine: &self.engine, id };
--- a/gateway/src/connection.rs
+++ b/gateway/src/connection.rs
@@ -11,7 +11,6 @@
 use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -111,7 +110,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Gone once it has ended.
     driver: Driver,
-    stream: Rc<TcpStream>,
+    socket: Socket,
     trace: Rc<Trace>,
 }
 
@@ -124,17 +123,17 @@
         let stream = tokio::time::timeout(timeout, TcpStream::connect(to)).await??;
         stream.set_nodelay(true)?;
         let (progress, begun, begins) = (Cell::new(Progress::Unsent), Cell::new(false), Notify::new());
-        let (stream, trace) = (Rc::new(stream), Rc::new(Trace { progress, begun, begins }));
-        let wire = TokioIo::new(Wire { socket: Socket(stream.clone()), trace: trace.clone() });
+        let (socket, trace) = (Socket(Rc::new(stream)), Rc::new(Trace { progress, begun, begins }));
+        let wire = TokioIo::new(Wire { socket: socket.clone(), trace: trace.clone() });
         let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(wire);
         let (sender, driver) = handshake.await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), stream, trace })
+        Ok(Self { sender, driver: Some(Box::pin(driver)), socket, trace })
     }
 
     /// Whether the idle connection is alive, by the kernel's newest word: asks the socket itself, since
     /// what the event loop has heard so far may be old. Data that nobody asked for is a fault too.
     pub fn is_alive(&self) -> bool {
-        let peeked = socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = self.socket.peek();
         self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::backends::{Answer, Backends, End, Message, spawn};
 use crate::clock::{Clock, millis, span};
 use crate::counter::Counter;
+use crate::socket::Socket;
 use doorcourse::{
     Action, Arrival, AttemptEnd, Event, Gateway, Millis, Name, Outcome, RequestId, Settings, SettingsError,
 };
@@ -34,6 +35,7 @@
 /// A request without a final answer.
 struct Open {
     message: Message,
+    client: Socket,
     until: Instant,
     reply: oneshot::Sender<Reply>,
     attempts: u32,
@@ -104,16 +106,16 @@
         }
     }
 
-    /// Takes in a request; the reply comes once, unless the client leaves first.
+    /// Takes in a request; the reply comes once, unless the client, whose socket this is, leaves first.
     pub fn open(
-        &self, arrival: impl FnOnce(RequestId) -> Arrival, message: Message, until: Instant,
+        &self, arrival: impl FnOnce(RequestId) -> Arrival, message: Message, client: Socket, until: Instant,
     ) -> (RequestId, oneshot::Receiver<Reply>) {
         let (reply, receiver) = oneshot::channel();
         let id = {
             let mut state = self.state.borrow_mut();
             state.last += 1;
             let id = state.last;
-            state.open.insert(id, Open { message, until, reply, attempts: 0, timed_out: false });
+            state.open.insert(id, Open { message, client, until, reply, attempts: 0, timed_out: false });
             id
         };
         self.post(Event::Request(arrival(id)));
@@ -236,10 +238,16 @@
         let until = timeout.map_or(request.until, |t| request.until.min(begun + span(t)));
         let (call_off, called_off) = oneshot::channel();
         out.insert(id, Out { number, call_off: Some(call_off) });
-        let (message, backends, me) = (request.message.clone(), self.backends.clone(), self.me.clone());
+        let (message, client) = (request.message.clone(), request.client.clone());
+        let (backends, me) = (self.backends.clone(), self.me.clone());
         spawn(async move {
-            let end = backends.attempt(&backend, message, until, called_off).await;
+            let end = backends.attempt(&backend, message, until, called_off, &client).await;
+            // So that nobody decides on a further attempt.
+            let left = end.answer.is_none() && client.has_left().await;
             if let Some(engine) = me.upgrade() {
+                if left {
+                    engine.client_left(id);
+                }
                 engine.ended(id, number, backend, end, millis(begun.elapsed()));
             }
         });
--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -1,17 +1,13 @@
 //! A TCP stream that its owner can go on asking after the HTTP library has it.
 
 use std::io;
-use std::pin::Pin;
+use std::mem::MaybeUninit;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::task::{Context, Poll, Waker, ready};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
-
-/// How long after bytes came that nobody reads a peer's end may go unnoticed, at most. A request of whoever left has
-/// 0.3 s to stop going anywhere, which leaves a gateway short of processor time several looks.
-const LOOK: Duration = Duration::from_millis(50);
+use tokio::task::yield_now;
 
 /// The stream, shared with its owner.
 #[derive(Clone)]
@@ -19,14 +15,31 @@
 
 impl Socket {
     /// Resolves once the peer has ended its sending, or the connection has broken. Asks the event loop, not the
-    /// bytes: an end that stands behind bytes nobody reads yet is one all the same.
+    /// bytes: an end that stands behind bytes nobody reads yet is one all the same. Of the interests that a
+    /// stream can be waited for with, only that in priority data is met by an end and not by bytes, and no
+    /// socket here is registered for such data.
     pub async fn left(&self) {
-        loop {
-            match self.0.ready(Interest::READABLE).await {
-                Ok(ready) if !ready.is_read_closed() => sleep(LOOK).await,
-                _ => return,
-            }
+        let _ = self.0.ready(Interest::PRIORITY).await;
+    }
+
+    /// Whether the peer has ended its sending, or the connection has broken, by the newest word there is. What the
+    /// event loop has heard is as old as its last turn, so the kernel is asked. An end behind bytes that nobody has
+    /// read yet only the event loop tells of: then it has to turn first.
+    pub async fn has_left(&self) -> bool {
+        match self.peek() {
+            Ok(0) => return true,
+            Ok(_) => yield_now().await,
+            Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
         }
+        pin!(self.left()).poll(&mut Context::from_waker(Waker::noop())).is_ready()
+    }
+
+    /// Asks the kernel for the next byte and leaves it there: 1 where one has come, 0 at the end.
+    ///
+    /// # Errors
+    /// `WouldBlock` while nothing has come, others when the connection has broken.
+    pub fn peek(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()])
     }
 }
 
--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -1,139 +1,18 @@
 //! Where two events cross: each order is forced by the peers, which wait for one before they bring about the other.
+//! Those of clients that leave are in `leaving.rs`.
 
 mod helper;
 
-use helper::{Backend, Counter, Discovery, Do, Gateway, Mood, Setup, World, list, ok, request, row, until};
+use helper::{
+    Backend, Counter, Discovery, Do, Late, Mood, Setup, World, full_line, list, ok, request, row, until,
+};
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 
 const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
-/// A request by a name that no other bears, and the same for a customer without a quota.
-fn marked(deadline: u64) -> (String, String) {
-    let text = request("look", deadline, "", "").replace("/a%20b", "/marked");
-    let unmetered = text.replace("/marked", "/unmetered").replace("Api-Plan: p", "Api-Plan: free");
-    let unmetered = unmetered.replace("00000000b4d65521", "0000000000000001");
-    (text, unmetered)
-}
-
-fn heard(backend: &Backend, what: &str) -> usize {
-    backend.heard.lock().expect("lock").iter().filter(|heard| heard.line.contains(what)).count()
-}
-
-/// Waits until the gateway has noticed that the client of a request left: until then its id is taken.
-async fn id_is_free(gateway: &Gateway, unmetered: &str) {
-    helper::soon("a free id", async {
-        while gateway.client().await.ask(unmetered).await.status() == 400 {
-            helper::pause(5).await;
-        }
-    })
-    .await;
-}
-
-// ---- Clients that leave ----
-
-#[tokio::test(flavor = "multi_thread")]
-async fn bytes_behind_a_request_do_not_hide_that_its_client_left() {
-    let backend = Backend::start(&[Do::Hang, Do::Say(ok("x"))]).await;
-    let world = World::with(&[&backend]).await;
-    for behind in ["G".to_owned(), "x".repeat(3000), request("look", 500_000, "", "")] {
-        let closed = backend.closed();
-        *backend.deeds.lock().expect("lock") = vec![Do::Hang, Do::Say(ok("x"))];
-        let attempts = backend.attempts();
-        let mut client = world.gateway.client().await;
-        client.write(&(request("look", 500_000, "", "") + &behind)).await;
-        until("the attempt", || backend.attempts() == attempts + 1).await;
-        drop(client);
-        until("the end of the attempt's connection", || backend.closed() > closed).await;
-        assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
-        assert_eq!(backend.attempts(), attempts + 1, "nothing more of that client went on");
-    }
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn who_leaves_while_its_quota_is_asked_for_goes_nowhere() {
-    for behind in ["", "GET / HTTP/1.1\r\n"] {
-        let backend = Backend::start(&[Do::Say(ok("x"))]).await;
-        let setup = Setup::knowing(&[row("b", backend.at, "in_service")]).patient(200_000);
-        let world = World::set(&setup, Mood::Held).await;
-        let (text, unmetered) = marked(500_000);
-        let mut client = world.gateway.client().await;
-        client.write(&(text + behind)).await;
-        until("the call", || world.counter.calls.load(SeqCst) == 1).await;
-        drop(client);
-        id_is_free(&world.gateway, &unmetered).await;
-        *world.counter.mood.lock().expect("lock") = Mood::Adds;
-        assert_eq!(world.gateway.client().await.ask(&request("look", 60_000, "", "")).await.status(), 200);
-        assert_eq!((heard(&backend, "marked"), backend.attempts()), (0, 2));
-    }
-}
-
-/// A listener that takes nobody in: its line is full of connections, so further ones don't come up.
-async fn full_line() -> (TcpListener, Vec<TcpStream>) {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
-    let listener = socket.listen(1).expect("listening");
-    let at = listener.local_addr().expect("an address");
-    let mut line = Vec::new();
-    while let Ok(Ok(stream)) = tokio::time::timeout(Duration::from_millis(300), TcpStream::connect(at)).await
-    {
-        line.push(stream);
-    }
-    (listener, line)
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn who_leaves_while_a_connection_comes_up_goes_nowhere() {
-    let (listener, line) = full_line().await;
-    let other = Backend::start(&[Do::Say(ok("x"))]).await;
-    let at = listener.local_addr().expect("an address");
-    let mut setup = Setup::knowing(&[row("b", at, "in_service")]);
-    setup.edits = vec![(r#""most-tries":6"#, r#""most-tries":6,"dial-timeout-ms":500000"#.into())];
-    let world = World::set(&setup, Mood::Adds).await;
-    let (text, unmetered) = marked(500_000);
-    let mut client = world.gateway.client().await;
-    client.write(&(text + "GET / HTTP/1.1\r\n")).await;
-    until("a call of the counter", || world.counter.calls.load(SeqCst) > 0).await;
-    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
-    drop(client);
-    // The other one is known only now, so the first is all that the request could be on its way to.
-    world.discovery.tell(list(2, false, &[row("other", other.at, "in_service")]));
-    world.discovery.taken_in().await;
-    id_is_free(&world.gateway, &unmetered).await;
-    drop(line);
-    // What still comes up brings nothing.
-    while let Ok(Ok((mut stream, _))) = tokio::time::timeout(Duration::from_secs(4), listener.accept()).await
-    {
-        let mut bytes = Vec::new();
-        let _ = helper::soon("the end", stream.read_to_end(&mut bytes)).await;
-        assert_eq!(String::from_utf8_lossy(&bytes), "");
-    }
-    assert_eq!(heard(&other, "marked"), 0);
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn who_leaves_while_a_further_attempt_is_awaited_goes_nowhere() {
-    let declined = "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_owned();
-    let (full, other) =
-        (Backend::start(&[Do::Say(declined)]).await, Backend::start(&[Do::Say(ok("x"))]).await);
-    // Who turned a request away is left alone for minutes.
-    let setup = Setup { cold: 10_000_000, ..Setup::knowing(&[row("b", full.at, "in_service")]) };
-    let world = World::set(&setup.patient(200_000), Mood::Adds).await;
-    let (text, _) = marked(500_000);
-    let mut client = world.gateway.client().await;
-    client.write(&text).await;
-    until("the attempt", || full.attempts() == 1).await;
-    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
-    drop(client);
-    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
-    world.discovery.tell(list(2, false, &[row("other", other.at, "in_service")]));
-    world.discovery.taken_in().await;
-    assert_eq!(world.gateway.client().await.ask(&request("look", 60_000, "", "")).await.status(), 200);
-    assert_eq!((full.attempts(), other.attempts(), heard(&other, "marked")), (1, 1, 0));
-}
-
 // ---- The end ----
 
 #[tokio::test(flavor = "multi_thread")]
@@ -304,6 +183,79 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_connection_whose_backend_drains_or_moved_meanwhile_carries_nothing() {
+    let other = Backend::start(&[Do::Say(ok("other"))]).await;
+    let away = |health| move |at, other| vec![row("b", at, health), row("other", other, "in_service")];
+    let missing = |_, other| vec![row("other", other, "in_service")];
+    let moved = |_, other| vec![row("b", other, "in_service")];
+    type Rows<'a> = &'a dyn Fn(SocketAddr, SocketAddr) -> Vec<String>;
+    for (whole, rows) in [
+        (false, &away("terminating") as Rows),
+        (false, &away("terminated")),
+        (true, &missing),
+        (true, &moved),
+    ] {
+        let (listener, line) = full_line().await;
+        let at = listener.local_addr().expect("an address");
+        let setup = Setup::knowing(&[row("b", at, "in_service")]).patient(200_000);
+        let world = World::set(&setup, Mood::Adds).await;
+        let mut client = world.gateway.client().await;
+        client.write(&request("order", 500_000, "", "b")).await;
+        helper::connecting(at).await;
+        world.discovery.taken_in().await;
+        world.discovery.tell(list(2, whole, &rows(at, other.at)));
+        world.discovery.taken_in().await;
+        let late = Late::accept(listener, line);
+        assert_eq!(client.read().await.body, b"other");
+        late.ended().await;
+        assert_eq!(late.lines(), Vec::<String>::new());
+    }
+    assert_eq!(other.attempts(), 4);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_comes_up_as_its_request_is_over_carries_nothing() {
+    let (listener, line) = full_line().await;
+    let at = listener.local_addr().expect("an address");
+    let world = World::set(&Setup::knowing(&[row("b", at, "in_service")]).patient(200_000), Mood::Adds).await;
+    let mut client = world.gateway.client().await;
+    let asked = Instant::now();
+    client.write(&request("order", 3000, "", "b")).await;
+    helper::connecting(at).await;
+    world.gateway.freeze();
+    let late = Late::accept(listener, line);
+    late.opened(1).await;
+    // Both are there when the gateway looks next: the connection, and the end of the request's time.
+    tokio::time::sleep_until((asked + Duration::from_secs(4)).into()).await;
+    world.gateway.thaw();
+    assert_ne!(client.read().await.status(), 200);
+    late.ended().await;
+    assert_eq!(late.lines(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_connection_of_a_request_that_was_answered_elsewhere_carries_nothing() {
+    let (listener, line) = full_line().await;
+    let at = listener.local_addr().expect("an address");
+    let other = Backend::start(&[Do::Say(ok("other"))]).await;
+    let mut setup = Setup::knowing(&[row("b", at, "in_service")]).patient(200_000);
+    setup.edits.push((r#""dial-timeout-ms":200000"#, r#""dial-timeout-ms":2000"#.into()));
+    let world = World::set(&setup, Mood::Adds).await;
+    let mut client = world.gateway.client().await;
+    client.write(&request("order", 500_000, "", "b")).await;
+    helper::connecting(at).await;
+    world.discovery.taken_in().await;
+    world.discovery.tell(list(2, false, &[row("other", other.at, "in_service")]));
+    assert_eq!(client.read().await.body, b"other");
+    // One of this test's own comes up last: none of the gateway's before it carried anything.
+    let late = Late::accept(listener, line);
+    drop(TcpStream::connect(at).await.expect("a connection"));
+    late.opened(1).await;
+    late.ended().await;
+    assert_eq!((late.lines(), other.attempts()), (Vec::new(), 1));
+}
+
 // ---- Hand-overs ----
 
 #[tokio::test(flavor = "multi_thread")]
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -35,6 +35,37 @@
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
 
+/// Whether the system has a connection in this state (`01` established, `02` on its way, `08` ended by its peer) between
+/// two ports. What changes meanwhile may be missed, so absence proves nothing.
+fn has_connection(state: &str, from: Option<u16>, to: u16) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+    let port = |field: &str| field.rsplit(':').next().and_then(|p| u16::from_str_radix(p, 16).ok());
+    table.lines().skip(1).any(|line| {
+        let fields: Vec<_> = line.split_whitespace().take(4).collect();
+        fields[3] == state && port(fields[2]) == Some(to) && (from.is_none() || port(fields[1]) == from)
+    })
+}
+
+/// Waits until the system has brought the end of a connection to the socket at `at`, whose peer is `from`. On a busy
+/// machine that takes a while, also where nothing leaves the machine. A reset leaves no trace: its connection has to
+/// be missing time after time.
+pub async fn end_arrived(at: SocketAddr, from: SocketAddr, reset: bool) {
+    let missing = AtomicU32::new(0);
+    until("the end's arrival", || {
+        if has_connection("01", Some(at.port()), from.port()) {
+            missing.store(0, Ordering::SeqCst);
+        }
+        let ended = !reset && has_connection("08", Some(at.port()), from.port());
+        ended || missing.fetch_add(1, Ordering::SeqCst) == 20
+    })
+    .await;
+}
+
+/// Waits until somebody has begun to connect to a place where no connection comes up.
+pub async fn connecting(to: SocketAddr) {
+    until("a connection on its way", || has_connection("02", None, to.port())).await;
+}
+
 /// One HTTP message: its first line, its headers in lower case, its body.
 #[derive(Clone, Debug)]
 pub struct Heard {
@@ -77,6 +108,8 @@
     SayLater(u64, String),
     /// Writes this text and closes.
     SayAndClose(String),
+    /// Writes this text and resets the connection.
+    SayAndReset(String),
     /// Writes this text and, so many ms later, another.
     SayAndThen(String, u64, String),
     /// Writes this text over and over for as long as it is read.
@@ -134,6 +167,12 @@
                                 pause(ms).await;
                                 stream.write_all(more.as_bytes()).await.unwrap_or(());
                             }
+                            Do::SayAndReset(text) => {
+                                stream.write_all(text.as_bytes()).await.unwrap_or(());
+                                let socket = socket2::SockRef::from(stream.get_ref());
+                                socket.set_linger(Some(Duration::ZERO)).expect("set");
+                                break;
+                            }
                             Do::SayAndClose(text) => {
                                 stream.write_all(text.as_bytes()).await.unwrap_or(());
                                 break;
@@ -155,6 +194,11 @@
         this
     }
 
+    /// How many requests were heard whose first line contains this.
+    pub fn heard(&self, what: &str) -> usize {
+        self.heard.lock().expect("lock").iter().filter(|heard| heard.line.contains(what)).count()
+    }
+
     pub fn attempts(&self) -> usize {
         self.heard.lock().expect("lock").len()
     }
@@ -370,16 +414,82 @@
     }
 
     /// Whatever is held, for quota, backend or attempt, is held for long: aims are of this many ms, and the counter
-    /// may be as slow.
+    /// and a connection may be as slow.
     pub fn patient(self, aim: u64) -> Self {
         let edits = vec![
             (r#""goal-time-ms":800"#, format!(r#""goal-time-ms":{aim}"#)),
             (r#""count-limit-ms":50"#, format!(r#""count-limit-ms":{aim}"#)),
+            (r#""most-tries":6"#, format!(r#""most-tries":6,"dial-timeout-ms":{aim}"#)),
         ];
         Self { edits, ..self }
     }
 }
 
+/// A listener that takes nobody in: its line is full of connections, so further ones don't come up until the line is
+/// dropped and they have been accepted.
+pub async fn full_line() -> (TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let listener = socket.listen(1).expect("listening");
+    let at = listener.local_addr().expect("an address");
+    let mut line = Vec::new();
+    while let Ok(Ok(stream)) = tokio::time::timeout(Duration::from_millis(300), TcpStream::connect(at)).await
+    {
+        line.push(stream);
+    }
+    (listener, line)
+}
+
+/// What comes up at a listener whose line was full, once that is free; the connections of the line are left out.
+pub struct Late {
+    lines: Arc<Mutex<Vec<String>>>,
+    opened: Arc<AtomicUsize>,
+    ended: Arc<AtomicUsize>,
+}
+
+impl Late {
+    /// Frees the line, and answers all that is asked.
+    pub fn accept(listener: TcpListener, line: Vec<TcpStream>) -> Self {
+        let this = Self { lines: Arc::default(), opened: Arc::default(), ended: Arc::default() };
+        let (lines, opened, ended) = (this.lines.clone(), this.opened.clone(), this.ended.clone());
+        let own: Vec<_> = line.iter().filter_map(|stream| stream.local_addr().ok()).collect();
+        drop(line);
+        tokio::spawn(async move {
+            while let Ok((stream, from)) = listener.accept().await {
+                if own.contains(&from) {
+                    continue;
+                }
+                opened.fetch_add(1, Ordering::SeqCst);
+                let (lines, ended) = (lines.clone(), ended.clone());
+                tokio::spawn(async move {
+                    let mut stream = BufReader::new(stream);
+                    while let Some(message) = hear(&mut stream).await {
+                        lines.lock().expect("lock").push(message.line);
+                        let _ = stream.write_all(ok("late").as_bytes()).await;
+                    }
+                    ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        this
+    }
+
+    /// Waits until so many have come up.
+    pub async fn opened(&self, count: usize) {
+        until("late connections", || self.opened.load(Ordering::SeqCst) >= count).await;
+    }
+
+    /// Waits until all that came up has been closed by the other side.
+    pub async fn ended(&self) {
+        until("the end", || self.opened.load(Ordering::SeqCst) == self.ended.load(Ordering::SeqCst)).await;
+    }
+
+    /// The first lines of all requests that were heard.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().expect("lock").clone()
+    }
+}
+
 static FILES: AtomicU32 = AtomicU32::new(0);
 
 /// A gateway as a process.
@@ -456,10 +566,23 @@
         Client(BufReader::new(TcpStream::connect(self.at).await.expect("a connection")))
     }
 
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
 
+    /// Stops the process where it is; what happens until `thaw` it then finds in one turn of its event loop.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let id = self.child.id().expect("a process").to_string();
         let sent = std::process::Command::new("kill").args([signal, &id]).status().expect("kill");
--- /dev/null
+++ b/gateway/tests/leaving.rs
@@ -0,0 +1,225 @@
+//! Clients that leave while their request waits for something: whichever way they go, and also where what was waited
+//! for comes in the same turn of the event loop, nothing of theirs goes on.
+
+mod helper;
+
+use fennelscale::socket::Socket;
+use helper::{
+    Backend, Client, Do, Gateway, Late, Mood, Setup, World, full_line, list, ok, pause, request, row, until,
+};
+use std::net::Shutdown;
+use std::rc::Rc;
+use std::sync::atomic::Ordering::SeqCst;
+use std::time::Duration;
+use tokio::io::BufReader;
+use tokio::net::{TcpListener, TcpStream};
+
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+const LONG: u64 = 500_000;
+
+/// How a client ends its connection.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Close,
+    Reset,
+    /// It ends its sending and goes on reading.
+    HalfClose,
+}
+
+/// A request whose path no other client's has.
+fn leaving() -> String {
+    request("look", LONG, "", "").replace("/a%20b", "/leaves")
+}
+
+/// Every way of going, with what may stand behind the request, before and after something else.
+fn ways() -> Vec<(Way, String, bool)> {
+    let mut ways = Vec::new();
+    for way in [Way::Close, Way::Reset, Way::HalfClose] {
+        for behind in [String::new(), "G".into(), leaving(), (0..99).map(|_| leaving()).collect()] {
+            ways.extend([true, false].map(|leaves_first| (way, behind.clone(), leaves_first)));
+        }
+    }
+    ways
+}
+
+/// Ends a client's connection; one that goes on reading is handed back.
+fn end(client: Client, way: Way) -> Option<Client> {
+    let socket = socket2::SockRef::from(client.0.get_ref());
+    match way {
+        Way::Close => {}
+        Way::Reset => socket.set_linger(Some(Duration::ZERO)).expect("set"),
+        Way::HalfClose => socket.shutdown(Shutdown::Write).expect("shut"),
+    }
+    Some(client).filter(|_| matches!(way, Way::HalfClose))
+}
+
+/// The same, and waits until the other side's system knows.
+async fn leave(client: Client, way: Way) -> Option<Client> {
+    let stream = client.0.get_ref();
+    let (from, at) = (stream.local_addr().expect("an address"), stream.peer_addr().expect("an address"));
+    let kept = end(client, way);
+    helper::end_arrived(at, from, matches!(way, Way::Reset)).await;
+    kept
+}
+
+#[tokio::test]
+async fn a_socket_knows_that_its_peer_has_left() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    for (way, behind, _) in ways() {
+        let peer =
+            TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let (socket, mut peer) = (Socket(Rc::new(stream)), Client(BufReader::new(peer)));
+        peer.write(&behind).await;
+        assert!(!socket.has_left().await, "{way:?}, {} bytes behind", behind.len());
+        let _kept = leave(peer, way).await;
+        assert!(socket.has_left().await, "{way:?}, {} bytes behind", behind.len());
+        helper::soon("the same from the event loop", socket.left()).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_while_its_attempt_is_out_has_it_given_up() {
+    let backend = Backend::start(&[Do::Hang, Do::Say(ok("x"))]).await;
+    let setup = Setup::knowing(&[row("b", backend.at, "in_service")]).patient(200_000);
+    let world = World::set(&setup, Mood::Adds).await;
+    for (way, behind, _) in ways() {
+        let closed = backend.closed();
+        *backend.deeds.lock().expect("lock") = vec![Do::Hang, Do::Say(ok("x"))];
+        let attempts = backend.attempts();
+        let mut client = world.gateway.client().await;
+        client.write(&(leaving() + &behind)).await;
+        until("the attempt", || backend.attempts() == attempts + 1).await;
+        let _kept = end(client, way);
+        until("the end of the attempt's connection", || backend.closed() > closed).await;
+        assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+        assert_eq!(backend.attempts(), attempts + 1, "nothing more of that client went on: {way:?}");
+    }
+}
+
+/// While the gateway stands still a client leaves and what its request waits for comes, in either order: the gateway
+/// finds both in one turn.
+async fn cross(
+    gateway: &Gateway, client: Client, way: Way, leaves_first: bool, release: impl Future,
+) -> Option<Client> {
+    gateway.freeze();
+    let kept = if leaves_first {
+        let kept = leave(client, way).await;
+        release.await;
+        kept
+    } else {
+        release.await;
+        leave(client, way).await
+    };
+    // What was written to the gateway has reached its machine by then.
+    pause(50).await;
+    gateway.thaw();
+    kept
+}
+
+/// Waits until the gateway knows a list. It was told while the gateway stood still, whose call may have been over.
+async fn is_known(world: &World, seq: u64, text: &str) {
+    loop {
+        world.discovery.taken_in().await;
+        if world.discovery.asked.lock().expect("lock").contains(&format!("after={seq}&")) {
+            return;
+        }
+        world.discovery.tell(text.to_owned());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_while_its_quota_is_asked_for_goes_nowhere() {
+    for (way, behind, leaves_first) in ways() {
+        let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+        let setup = Setup::knowing(&[row("b", backend.at, "in_service")]).patient(200_000);
+        let world = World::set(&setup, Mood::Held).await;
+        let mut client = world.gateway.client().await;
+        client.write(&(leaving() + &behind)).await;
+        until("the call", || world.counter.calls.load(SeqCst) > 0).await;
+        let release = async { *world.counter.mood.lock().expect("lock") = Mood::Adds };
+        let _kept = cross(&world.gateway, client, way, leaves_first, release).await;
+        assert_eq!(world.gateway.client().await.ask(&request("look", LONG, "", "")).await.status(), 200);
+        assert_eq!(backend.heard("leaves"), 0, "{way:?}, {} bytes behind, {leaves_first}", behind.len());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_while_no_backend_is_to_be_had_goes_nowhere() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let world = World::set(&Setup::knowing(&[]).patient(200_000), Mood::Adds).await;
+    let text = |n, health| list(n, false, &[row("b", backend.at, health)]);
+    for (n, (way, behind, leaves_first)) in ways().into_iter().enumerate() {
+        let mut client = world.gateway.client().await;
+        client.write(&(leaving() + &behind)).await;
+        world.discovery.taken_in().await;
+        assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+        let (seq, there) = (2 * n as u64 + 2, text(2 * n as u64 + 2, "in_service"));
+        let release = async { world.discovery.tell(there.clone()) };
+        let _kept = cross(&world.gateway, client, way, leaves_first, release).await;
+        is_known(&world, seq, &there).await;
+        assert_eq!(world.gateway.client().await.ask(&request("look", LONG, "", "")).await.status(), 200);
+        assert_eq!(backend.heard("leaves"), 0, "{way:?}, {} bytes behind, {leaves_first}", behind.len());
+        world.discovery.tell(text(seq + 1, "terminating"));
+        is_known(&world, seq + 1, &text(seq + 1, "terminating")).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_while_a_further_attempt_is_awaited_goes_nowhere() {
+    let declined = "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n".to_owned();
+    for (way, behind, leaves_first) in ways() {
+        let full = Backend::start(&[Do::Say(declined.clone())]).await;
+        let other = Backend::start(&[Do::Say(ok("x"))]).await;
+        // Who turned a request away is left alone for minutes.
+        let setup = Setup { cold: 10_000_000, ..Setup::knowing(&[row("b", full.at, "in_service")]) };
+        let world = World::set(&setup.patient(200_000), Mood::Adds).await;
+        let mut client = world.gateway.client().await;
+        client.write(&(leaving() + &behind)).await;
+        until("the attempt", || full.attempts() == 1).await;
+        world.discovery.taken_in().await;
+        assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+        let text = list(2, false, &[row("other", other.at, "in_service")]);
+        let release = async { world.discovery.tell(text.clone()) };
+        let _kept = cross(&world.gateway, client, way, leaves_first, release).await;
+        is_known(&world, 2, &text).await;
+        assert_eq!(world.gateway.client().await.ask(&request("look", LONG, "", "")).await.status(), 200);
+        assert_eq!(
+            (full.attempts(), other.heard("leaves")),
+            (1, 0),
+            "{way:?}, {} bytes behind",
+            behind.len()
+        );
+    }
+}
+
+/// A client leaves in the turn in which the connection comes up that its request waits for.
+async fn leaves_as_a_connection_comes_up(way: Way, behind: String) {
+    let (listener, line) = full_line().await;
+    let at = listener.local_addr().expect("an address");
+    let setup = Setup::knowing(&[row("b", at, "in_service")]);
+    let world = World::set(&setup.patient(200_000), Mood::Adds).await;
+    let mut client = world.gateway.client().await;
+    // Of a customer without a quota: no counter is asked.
+    let text =
+        leaving().replace("Api-Plan: p", "Api-Plan: free").replace("00000000b4d65521", "0000000000000001");
+    client.write(&(text + &behind)).await;
+    helper::connecting(at).await;
+    world.gateway.freeze();
+    let late = Late::accept(listener, line);
+    late.opened(1).await;
+    let _kept = leave(client, way).await;
+    world.gateway.thaw();
+    assert_eq!(world.gateway.client().await.ask(UP).await.status(), 200);
+    late.ended().await;
+    assert_eq!(late.lines(), Vec::<String>::new(), "{way:?}, {} bytes behind", behind.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_leaves_as_its_connection_comes_up_goes_nowhere() {
+    let after = ways().into_iter().filter(|(_, _, leaves_first)| !leaves_first);
+    let all = after.map(|(way, behind, _)| tokio::spawn(leaves_as_a_connection_comes_up(way, behind)));
+    for one in all.collect::<Vec<_>>() {
+        one.await.expect("passed");
+    }
+}
