--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -64,6 +64,107 @@
     assert_eq!(client.read().await.body, body.as_bytes());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_comes_as_its_connection_is_closed_is_answered_or_goes_nowhere() {
+    for reason in ["nothing asked", "evicted", "the end"] {
+        let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+        // Room for 11; from the sixth on an idle one is evicted for each that comes.
+        let setup = Setup { sockets: 52, ..Setup::knowing(&[row("b", backend.at, "in_service")]) };
+        let world = World::set(&setup.patient(200_000), Mood::Adds).await;
+        let mut client = world.gateway.client().await;
+        assert_eq!(client.ask(UP).await.status(), 200);
+        let (answered, mut others) = (Instant::now(), Vec::new());
+        if reason == "the end" {
+            world.gateway.terminate();
+        }
+        world.gateway.freeze();
+        if reason == "evicted" {
+            for _ in 0..6 {
+                others.push(world.gateway.client().await);
+            }
+        }
+        // The request waits in the machine when the gateway finds that this connection is due.
+        client.write(&request("order", 500_000, "", "b")).await;
+        if reason != "evicted" {
+            tokio::time::sleep_until((answered + Duration::from_secs(3)).into()).await;
+        }
+        world.gateway.thaw();
+        // A client whose request was not read sends it once more elsewhere: then it must not have gone on.
+        let reply = helper::soon("an answer or the end", helper::hear(&mut client.0)).await;
+        let answered = reply.is_some_and(|reply| reply.body == b"x");
+        assert_eq!(backend.attempts(), usize::from(answered), "{reason}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_connects_while_blocks_go_back_at_the_end_is_answered() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let setup = Setup { rate: 0.01, burst: 10.0, ..Setup::knowing(&[row("b", backend.at, "in_service")]) };
+    loop {
+        let mut world = World::set(&setup, Mood::Adds).await;
+        let text = request("order", 50_000, "", "b");
+        assert_eq!(world.gateway.client().await.ask(&text).await.status(), 200);
+        let calls = world.counter.calls.load(SeqCst);
+        world.gateway.terminate();
+        until("a block that goes back", || world.counter.calls.load(SeqCst) > calls).await;
+        world.gateway.freeze();
+        let stream = TcpStream::connect(world.gateway.at).await;
+        world.gateway.thaw();
+        if let Ok(stream) = stream {
+            let mut client = helper::Client(tokio::io::BufReader::new(stream));
+            let reply = client.ask(&request("order", 50_000, "", "b")).await;
+            assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
+            assert_eq!(world.gateway.ended().await.code(), Some(0));
+            let totals: f64 = world.counter.totals.lock().expect("lock").values().sum();
+            return assert_eq!(totals, 2.0, "what is not spent has gone back");
+        }
+        // On a machine that was so slow that the time was over nothing was shown.
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_block_that_comes_after_the_others_went_back_serves_who_waits_for_it() {
+    let backend = Backend::start(&[Do::Say(ok("x"))]).await;
+    let setup = Setup { rate: 0.01, burst: 10.0, ..Setup::knowing(&[row("b", backend.at, "in_service")]) };
+    let mut world = World::set(&setup.patient(200_000), Mood::Held).await;
+    let mut client = world.gateway.client().await;
+    client.write(&request("order", 500_000, "", "b")).await;
+    until("the call", || world.counter.calls.load(SeqCst) == 1).await;
+    world.gateway.terminate();
+    helper::soon("the listener's end", async {
+        while TcpStream::connect(world.gateway.at).await.is_ok() {
+            helper::pause(20).await;
+        }
+    })
+    .await;
+    *world.counter.mood.lock().expect("lock") = Mood::Adds;
+    assert_eq!(client.read().await.body, b"x");
+    assert_eq!(world.gateway.ended().await.code(), Some(0));
+    let added: f64 = world.counter.totals.lock().expect("lock").values().sum();
+    assert!((1.0..=10.0).contains(&added), "{added}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_line_from_a_backend_and_all_signals_at_once_do_not_spoil_the_end() {
+    for (half, status) in [("HTTP/1.1 200 OK\r\nContent-Le", 502), ("HTTP/1.1 200 OK\r\n\r\nhalf", 502)] {
+        let backend = Backend::start(&[Do::SayAndThen(half.into(), 60_000, String::new())]).await;
+        let setup = Setup::knowing(&[row("b", backend.at, "in_service")]).patient(200_000);
+        let mut world = World::set(&setup, Mood::Adds).await;
+        let mut client = world.gateway.client().await;
+        client.write(&request("order", 500_000, "", "b")).await;
+        until("the attempt", || backend.attempts() == 1).await;
+        world.gateway.freeze();
+        world.gateway.terminate();
+        world.gateway.hang_up();
+        world.gateway.terminate();
+        world.gateway.thaw();
+        let reply = client.read().await;
+        assert_eq!(reply.status(), status);
+        client.is_closed().await;
+        assert_eq!(world.gateway.ended().await.code(), Some(0));
+    }
+}
+
 // ---- Lists ----
 
 #[tokio::test(flavor = "multi_thread")]
@@ -256,6 +357,49 @@
     assert_eq!((late.lines(), other.attempts()), (Vec::new(), 1));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn only_an_answer_that_came_whole_is_passed_on() {
+    let to_the_end = "HTTP/1.1 200 OK\r\n\r\n";
+    let sized = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n";
+    let ahead = "HTTP/1.1 102 Processing\r\n\r\n";
+    // Where no length is given a clean end is the only one; where one is, what comes behind it matters no more.
+    let cases = [
+        (true, false, to_the_end.to_owned() + "whole"),
+        (false, true, to_the_end.to_owned() + "whole"),
+        (false, true, to_the_end.to_owned()),
+        (true, false, sized.to_owned() + "whole"),
+        (true, true, sized.to_owned() + "whole"),
+        (false, false, sized.to_owned() + "whol"),
+        (false, true, sized.to_owned() + "whol"),
+        (false, false, sized.to_owned()),
+        (true, false, chunked.to_owned() + "0\r\n\r\n"),
+        (false, false, chunked.to_owned()),
+        (false, true, chunked.to_owned() + "0\r\n\r"),
+        (false, false, ahead.to_owned()),
+        (false, true, ahead.to_owned()),
+        (false, true, ahead.to_owned() + sized + "whol"),
+    ];
+    for (whole, reset, text) in cases {
+        let cut = if reset { Do::SayAndReset(text.clone()) } else { Do::SayAndClose(text.clone()) };
+        let backend = Backend::start(&[cut.clone(), cut, Do::Say(ok("again"))]).await;
+        let setup = Setup::knowing(&[row("b", backend.at, "in_service")]).patient(200_000);
+        let world = World::set(&setup, Mood::Adds).await;
+        let mut client = world.gateway.client().await;
+        let reply = client.ask(&request("order", 50_000, "", "b")).await;
+        assert_eq!(
+            (reply.status(), reply.body == b"whole"),
+            (if whole { 200 } else { 502 }, whole),
+            "{text}"
+        );
+        // What may be sent once more is, and its client gets the answer that came whole.
+        let expected: &[u8] = if whole { b"whole" } else { b"again" };
+        assert_eq!(client.ask(&request("look", 50_000, "", "")).await.body, expected, "{text}, {reset}");
+        client.stays_quiet().await;
+        assert_eq!(backend.attempts(), if whole { 2 } else { 3 }, "{text}, {reset}");
+    }
+}
+
 // ---- Hand-overs ----
 
 #[tokio::test(flavor = "multi_thread")]
