Leave who just connected to ask while there is room, also where all others are busy

Cause: once half of the budget is held by busy clients `Server::accept` evicts an idle connection for each that comes (`evict_idle`), and the one that came last was the only idle one: it was shut unread at once (20 of 20 with room for 33 and 18 busy, asked 0 to 30 ms after connecting), and a first request that is closed with no answer is lost. Result: `gateway/tests/process.rs`, `who_connects_while_busy_clients_hold_half_of_the_budget_is_left_to_ask`, which failed before.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -292,7 +292,10 @@
                 (true, _) => 1,
                 (false, true) => 2,
             };
-        let asleep = connections.iter().filter(|c| !c.busy.get() && !c.evicted.get());
+        // While there is room, who just came is left to ask: where all others are busy nobody else is idle, and
+        // a first connection that is shut unread is a request lost.
+        let spared = if connections.len() < self.most_clients { 2 } else { 3 };
+        let asleep = connections.iter().filter(|c| !c.busy.get() && !c.evicted.get() && rank(c) < spared);
         if let Some(client) = asleep.min_by_key(|c| (rank(c), c.since.get())) {
             client.evicted.set(true);
             client.evict.notify_one();
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -114,6 +114,31 @@
     assert_eq!(busy.read().await.status(), 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn who_connects_while_busy_clients_hold_half_of_the_budget_is_left_to_ask() {
+    // Room for 33, of which 18 wait for backends that never answer.
+    let mut backends = Vec::new();
+    for _ in 0..6 {
+        backends.push(Backend::start(&[Do::Hang]).await);
+    }
+    let rows: Vec<_> = backends.iter().map(|b| row(&b.at.to_string(), b.at, "in_service")).collect();
+    let setup = Setup { sockets: 92, ..Setup::knowing(&rows) }.patient(400_000);
+    let world = World::set(&setup, helper::Mood::Adds).await;
+    let mut busy = Vec::new();
+    for _ in 0..18 {
+        let mut client = world.gateway.client().await;
+        client.write(&request("look", 500_000, "", "")).await;
+        busy.push(client);
+    }
+    let attempts = || backends.iter().map(Backend::attempts).sum::<usize>();
+    helper::until("the attempts", || attempts() == 18).await;
+    for rest in [0, 1, 5, 30] {
+        let mut newcomer = world.gateway.client().await;
+        helper::pause(rest).await;
+        assert_eq!(newcomer.ask(UP).await.status(), 200, "{rest} ms after it came");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn clients_that_connect_and_say_nothing_do_not_keep_others_out() {
     let backend = Backend::start(&[Do::Say(ok("x"))]).await;
