Measure only requests that are sent, and weigh tenants without the harness's own counts

Cause: a request that is refused costs little, and a figure of refused requests would have looked good; the counts that the harness keeps for its counter were in memory while tenants were weighed.

Change: a request that leads to no send ends `slopes` with an error; counts of tenants that never come again go at once.

--- a/fleet/src/slopes.rs
+++ b/fleet/src/slopes.rs
@@ -292,8 +292,8 @@
     }
 
     /// One request from its arrival to its end, its counter calls and its attempt answered at once: how long the
-    /// decisions took, and how many counter calls it led to.
-    fn request(&mut self, customer: &Name, class: &Name) -> (Duration, usize) {
+    /// decisions took, and how many counter calls it led to. It must be sent, or it is no request to measure.
+    fn request(&mut self, customer: &Name, class: &Name) -> Result<(Duration, usize), SlopesError> {
         self.last += 1;
         let arrival = Arrival {
             id: self.last,
@@ -306,7 +306,7 @@
             first: 0,
             spread: 1,
         };
-        let (mut took, mut calls) = (Duration::ZERO, 0);
+        let (mut took, mut calls, mut sends) = (Duration::ZERO, 0, 0);
         let mut events = vec![Event::Request(arrival)];
         let mut actions = Vec::new();
         while let Some(event) = events.pop() {
@@ -315,16 +315,19 @@
             took += begun.elapsed();
             for action in actions.drain(..) {
                 match action {
-                    Action::Send { id, backend, .. } => events.push(Event::AttemptEnded(AttemptEnd {
-                        id,
-                        attempt: 0,
-                        backend,
-                        outcome: Outcome::Served,
-                        latency: 80.0,
-                        true_units: None,
-                        finished: true,
-                        load: None,
-                    })),
+                    Action::Send { id, backend, .. } => {
+                        sends += 1;
+                        events.push(Event::AttemptEnded(AttemptEnd {
+                            id,
+                            attempt: 0,
+                            backend,
+                            outcome: Outcome::Served,
+                            latency: 80.0,
+                            true_units: None,
+                            finished: true,
+                            load: None,
+                        }));
+                    }
                     Action::Count { name, amount, .. } => {
                         calls += 1;
                         let total = self.counts.entry(name).or_default();
@@ -336,15 +339,17 @@
                 }
             }
         }
-        (took, calls)
+        if sends == 1 { Ok((took, calls)) } else { Err(io::Error::other("a request was not sent").into()) }
     }
 
     /// Has it hold so many tenants, each of which has just asked once.
-    fn hold_tenants(&mut self, tenants: usize) {
+    fn hold_tenants(&mut self, tenants: usize) -> Result<(), SlopesError> {
         for n in 0..tenants {
-            self.request(&tenant(n), &route(0));
+            self.request(&tenant(n), &route(0))?;
+            // No name comes again, and what is kept here would be weighed with the tenants.
+            self.counts.clear();
         }
-        self.counts = HashMap::new();
+        Ok(())
     }
 
     fn sweep(&mut self) -> Duration {
@@ -386,7 +391,7 @@
     let before = resident()?;
     subject.take_in(&text)?;
     if load == Load::Tenants {
-        subject.hold_tenants(size);
+        subject.hold_tenants(size)?;
     }
     Ok(resident()?.saturating_sub(before))
 }
@@ -395,10 +400,10 @@
 fn decisions(servers: usize, gateways: u32, measured_for: Duration) -> Result<f64, SlopesError> {
     let mut subject = Subject::knowing(servers, gateways, 1)?;
     let (customer, class) = (tenant(1), route(0));
-    subject.request(&customer, &class);
+    subject.request(&customer, &class)?;
     median(measured_for, || {
         subject.now += GAP;
-        Ok(subject.request(&customer, &class).0)
+        Ok(subject.request(&customer, &class)?.0)
     })
 }
 
@@ -449,12 +454,12 @@
     })?);
     slopes.push(tenants("one request's decisions, tenants held", "us", &|n| {
         let mut subject = Subject::knowing(1, 1, 1)?;
-        subject.hold_tenants(n);
+        subject.hold_tenants(n)?;
         let (names, class): (Vec<_>, _) = ((0..64).map(|i| tenant(i * n / 64)).collect(), route(0));
         let mut turn = 0;
         median(measured_for, || {
             turn += 1;
-            Ok(subject.request(&names[turn % names.len()], &class).0)
+            Ok(subject.request(&names[turn % names.len()], &class)?.0)
         })
     })?);
     tracing::info!("routes");
@@ -464,7 +469,7 @@
         let mut turn = 0;
         median(measured_for, || {
             turn += 1;
-            Ok(subject.request(&customer, &classes[turn % classes.len()]).0)
+            Ok(subject.request(&customer, &classes[turn % classes.len()])?.0)
         })
     })?;
     slopes.push(Slope::fitted("one request's decisions, routes", "us", "routes", routes, ROUTES as f64));
@@ -508,7 +513,7 @@
         median(measured_for, || {
             (round, subject.now) = (round + 1, subject.now + GAP);
             subject.take_in(&change(round))?;
-            Ok(subject.request(&tenant(1), &route(0)).0)
+            Ok(subject.request(&tenant(1), &route(0))?.0)
         })
     })?);
     slopes.push(servers("sweep, backends known", "us", &|n| {
@@ -517,16 +522,16 @@
     })?);
     slopes.push(tenants("sweep, tenants held", "us", &|n| {
         let mut subject = Subject::knowing(1, 1, 1)?;
-        subject.hold_tenants(n);
+        subject.hold_tenants(n)?;
         median(measured_for, || Ok(subject.sweep()))
     })?);
     slopes.push(tenants("lease taken: admit, count, total", "us", &|n| {
         let mut subject = Subject::knowing(1, 1, 1)?;
-        subject.hold_tenants(n);
+        subject.hold_tenants(n)?;
         let mut new = n;
         median(measured_for, || {
             new += 1;
-            let (took, calls) = subject.request(&tenant(new), &route(0));
+            let (took, calls) = subject.request(&tenant(new), &route(0))?;
             if calls == 1 { Ok(took) } else { Err(io::Error::other("no lease was taken").into()) }
         })
     })?);
