--- a/gateway/src/backends.rs
+++ b/gateway/src/backends.rs
@@ -13,8 +13,8 @@
 use hyper::http::request::Builder;
 use hyper::http::response;
 use hyper::{Method, Request, StatusCode};
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -152,7 +152,7 @@
 
 /// All backends that this gateway knows.
 pub struct Backends {
-    known: RefCell<HashMap<Name, Backend>>,
+    known: RefCell<FxHashMap<Name, Backend>>,
     /// Free connections.
     pool: RefCell<Pool<Connection>>,
     /// How many lists were taken in.
@@ -189,6 +189,10 @@
         let (mut known, mut pool) = (self.known.borrow_mut(), self.pool.borrow_mut());
         let (told, heard) = (self.lists.get() + 1, Instant::now());
         self.lists.set(told);
+        if list.whole {
+            let new = list.hosts.len().saturating_sub(known.len());
+            known.reserve(new);
+        }
         for host in &list.hosts {
             let (name, dial) = (&host.entry.name, host.dial);
             if host.entry.state == BackendState::Gone {
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -1,20 +1,20 @@
 //! Idle connections, by backend: its cost follows the connections that are kept, not the backends that are known.
 
 use doorcourse::Name;
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Idle connections to backends, of any kind.
 pub struct Pool<T> {
     /// Those of one backend in the order in which they came, and since when each is idle. Never empty.
-    idle: HashMap<Name, Vec<(T, Instant)>>,
+    idle: FxHashMap<Name, Vec<(T, Instant)>>,
     count: usize,
 }
 
 impl<T> Default for Pool<T> {
     fn default() -> Self {
-        Self { idle: HashMap::new(), count: 0 }
+        Self { idle: FxHashMap::default(), count: 0 }
     }
 }
 
--- a/src/members.rs
+++ b/src/members.rs
@@ -5,14 +5,16 @@
 use crate::hash::hash;
 use crate::interface::*;
 use crate::subset::{Slot, Subset};
-use std::collections::{BTreeMap, BTreeSet};
+use rustc_hash::FxHashMap;
+use std::collections::BTreeSet;
 
 /// All backends that one gateway knows, and its subset of them.
 #[derive(Default)]
 pub(crate) struct Members {
     slots: Vec<Backend>,
     free: Vec<Slot>,
-    names: BTreeMap<Name, Slot>,
+    /// Only ever asked for one name: its order says nothing.
+    names: FxHashMap<Name, Slot>,
     gone: BTreeSet<Slot>,
     subset: Subset,
     /// How many attempts are out in all.
@@ -33,6 +35,9 @@
 
     /// Takes in a list, or changes to it: what a whole list does not name is gone.
     pub(crate) fn update(&mut self, list: Vec<BackendEntry>, whole: bool) {
+        let new = if whole { list.len().saturating_sub(self.names.len()) } else { 0 };
+        self.names.reserve(new);
+        self.slots.reserve(new);
         for entry in list {
             self.tell(entry, whole);
         }
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -15,6 +15,7 @@
 
 use crate::hash::{hash, mix, unit};
 use crate::interface::Name;
+use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
 
 /// So many gateways send to each backend, at least: the more, the less the traffic of one gateway weighs at
@@ -66,20 +67,17 @@
         let even = self.size as f64 / count as f64 * (1.0 + SLACK);
         let up_to = |bin: usize| (bin as f64 * even + self.shift) as usize;
         let most = |bin: usize| up_to(bin + 1) - up_to(bin);
-        // Twice round, from what is passed on nowhere yet: at the end all that reaches the first bin is
-        // known.
-        let (mut passed, mut start) = (0, 0);
-        let round = || (first..count).chain(0..first);
-        for (step, bin) in round().chain(round()).enumerate() {
-            if passed == 0 {
-                start = step;
+        // Back from the first bin: what reaches it comes from as far as bins hold more than they take in all.
+        let (mut excess, mut largest, mut before) = (0, 0, 0);
+        for (step, bin) in (0..first).rev().chain((first..count).rev()).enumerate() {
+            excess += self.bins[bin].len() as i64 - most(bin) as i64;
+            if excess > largest {
+                (largest, before) = (excess, step + 1);
             }
-            passed = (passed + self.bins[bin].len()).saturating_sub(most(bin));
         }
-        let before = if passed == 0 { 0 } else { 2 * count - start };
         let mut carried = VecDeque::new();
         for step in 0..before + joined {
-            let bin = (first + 2 * count - before + step) % count;
+            let bin = (first + count - before + step) % count;
             let (own, most) = (&self.bins[bin], most(bin));
             let (kept, rest) = own.split_at(own.len().min(most));
             let taken: Vec<_> = carried.drain(..carried.len().min(most - kept.len())).collect();
@@ -106,7 +104,7 @@
     bin: usize,
     bins: usize,
     rings: BTreeMap<Name, Ring>,
-    cells: BTreeMap<u64, Vec<Slot>>,
+    cells: FxHashMap<u64, Vec<Slot>>,
     ready: usize,
     stale: bool,
     chosen: Vec<Slot>,
