Look for a client's end before its request is told to the decisions

Cause: a client that sends many requests and goes at once was heard to be gone only when the event loop had turned; till then its first request took room, quota and a place in the line. Forced with nine such clients in one turn, a usual client's request was refused (429), as the line was full of requests of clients that had gone.

Change: `answer` asks the socket first.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -392,14 +392,21 @@
                     client.busy.set(true);
                     // Guards backends against requests of those who are gone. The HTTP library sees an end only
                     // while nothing stands before it: bytes that a client sent behind its request hide it.
-                    tokio::select! {
+                    // It is looked for before anything is decided too: many who ask and go at once would crowd out
+                    // others for as long as it takes to hear of it.
+                    let decided = async {
+                        let gone = client.socket.has_left().await;
+                        if gone { None } else { Some(self.decide(parsed, client.socket.clone()).await) }
+                    };
+                    let answered = tokio::select! {
                         biased;
-                        () = client.socket.left() => {
-                            last = true;
-                            plain(StatusCode::BAD_REQUEST, "the client left\n")
-                        }
-                        response = self.decide(parsed, client.socket.clone()) => response,
-                    }
+                        () = client.socket.left() => None,
+                        answered = decided => answered,
+                    };
+                    answered.unwrap_or_else(|| {
+                        last = true;
+                        plain(StatusCode::BAD_REQUEST, "the client left\n")
+                    })
                 }
                 Err(error) => {
                     // Who asked wrongly may have meant something else with the bytes that follow.
