Let less pass beyond quotas: a stricter share of thin customers, and repeats asked about last

A repeat's call tells the counter of no demand; and what is not asked about is missing in the totals that the share is worked out from. Change: `THIN_STRICT` 1.5 to 2.5; repeats are asked about only while the counter bears all calls, and let in without a total by their plan's share, not all.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,7 +47,7 @@
 /// A total is as good as new for this share of a turn: what is asked in between is told with the next call.
 const THIN_GAP: f64 = 0.25;
 /// The share that fits falls by this power of what is asked beyond the burst: no count hears of everything.
-const THIN_STRICT: f64 = 1.5;
+const THIN_STRICT: f64 = 2.5;
 /// What was heard of a thin customer fades over this many turns.
 const THIN_FADE: f64 = 4.0;
 /// Weight of the newest first total in a plan's odds.
@@ -448,8 +448,10 @@
     /// The gate of a thin customer. A total heard just now decides; else the count is asked, as far as the
     /// counter bears, and the odds heard before decide for the rest. Clients' repeats are no new demand.
     fn admit_thin(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let asks = self.settings.counter && self.chance() < self.ease;
+        let lucky = self.chance() < self.ease;
         let Some(request) = self.requests.get(&id) else { return false };
+        // While the counter cannot bear all calls those for repeats go last: they tell it of no demand.
+        let asks = self.settings.counter && if request.repeat { self.ease >= 1.0 } else { lucky };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return false };
         let gap = Customer::turn(&self.settings.plans[customer.plan]) * THIN_GAP;
         let fresh = self.told.get(&customer.salt).is_some_and(|(_, at)| self.now - at < gap);
@@ -474,7 +476,7 @@
         let plan = &self.settings.plans[customer.plan];
         let usual = self.plan_odds[customer.plan][usize::from(request.repeat)];
         let pays = usual > (1.0 - usual) * (plan.over_cost - plan.over_worth);
-        let usual = if pays { 1.0 } else { usual };
+        let usual = if pays && !request.repeat { 1.0 } else { usual };
         let told = self.told.get(&customer.salt);
         request.blind = told.is_none();
         let (odds, at) = told.copied().unwrap_or_default();
