--- a/gateway/tests/crossings.rs
+++ b/gateway/tests/crossings.rs
@@ -39,16 +39,7 @@
     client.write(&request("order", 50_000, "", "b")).await;
     until("the attempt", || backend.attempts() == 1).await;
     world.gateway.terminate();
-    // The signal may be heard a moment after it was sent: the drain has begun once /up says so.
-    helper::soon("the drain", async {
-        loop {
-            let reply = world.gateway.client().await.ask(UP).await;
-            if reply.status() == 503 {
-                break assert_eq!(reply.headers["connection"], "close");
-            }
-        }
-    })
-    .await;
+    world.gateway.drains().await;
     world.gateway.terminate();
     world.gateway.reconfigure(&[]).await;
     world.gateway.terminate();
--- a/gateway/tests/helper/mod.rs
+++ b/gateway/tests/helper/mod.rs
@@ -603,6 +603,19 @@
         assert!(sent.success());
     }
 
+    /// Waits until the drain has begun, which is a moment after the signal: `/up` says so, and closes.
+    pub async fn drains(&self) {
+        soon("the drain", async {
+            loop {
+                let reply = self.client().await.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").await;
+                if reply.status() == 503 {
+                    break assert_eq!(reply.headers["connection"], "close");
+                }
+            }
+        })
+        .await;
+    }
+
     pub async fn ended(&mut self) -> ExitStatus {
         soon("the gateway's end", self.child.wait()).await.expect("a status")
     }
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -21,15 +21,7 @@
     early.write(&request("order", 2000, "", "b")).await;
     helper::until("the attempt", || backend.attempts() == 1).await;
     world.gateway.terminate();
-    helper::soon("the drain", async {
-        loop {
-            let reply = world.gateway.client().await.ask(UP).await;
-            if reply.status() == 503 {
-                break assert_eq!(reply.headers["connection"], "close");
-            }
-        }
-    })
-    .await;
+    world.gateway.drains().await;
     for client in [&mut world.gateway.client().await, &mut free] {
         let reply = client.ask(&request("look", 900, "", "")).await;
         assert_eq!((reply.status(), reply.headers["connection"].as_str()), (200, "close"));
