--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,10 +87,9 @@
 const SAMPLE_OF_FEW: usize = 64;
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 const ZONE_BIAS: f64 = 5.0;
-/// A cold backend gets this part of its capacity's share of an even part of all sends, at most as much again
-/// as it warms up: the more it bears, the less chance weighs. Warm ones get no more than they can do, so
+/// A cold backend gets its capacity's share of an even part of all sends, times this at first and as much
+/// again as it warms up: the more it bears, the less chance weighs. Warm ones get no more than they can do, so
 /// all gateways together stay under the multiple that fells it.
-const COLD_MULTIPLE: f64 = 0.8;
 const COLD_LEAST: f64 = 0.75;
 /// Time between housekeeping rounds, in ms: short beside any aim.
 const SWEEP: Millis = 25.0;
@@ -691,7 +690,7 @@
             // start. One draw for each request, for its first attempt alone: one that waits, or fails, has
             // no better odds the more it looks.
             let drawn = draws.cold.map_or(f64::INFINITY, |lot| unit(lot ^ backend.salt));
-            let part = (COLD_MULTIPLE * warmth * (warmth + COLD_LEAST)).min(1.0);
+            let part = (warmth * (warmth + COLD_LEAST)).min(1.0);
             let score = if warmth >= 1.0 {
                 // Among many, a draw by weight: no two gateways follow the same order.
                 let (queue, heard) = backend.queue;
