Say when a subset is worked out anew

The comment said that it is when it is asked for next; since the list refreshes it at its end (Members::update) that was wrong. A comment alone: no behaviour changes.

--- a/src/subset.rs
+++ b/src/subset.rs
@@ -96,7 +96,7 @@
 }
 
 /// The subset of one gateway. It follows the list: what is told of one backend touches its bin alone, and
-/// what that leads to is worked out when the subset is asked for next.
+/// what that leads to is worked out once for all that one list tells (`refresh`).
 #[derive(Default)]
 pub(crate) struct Subset {
     /// The group's number, the gateway's bin and how many bins there are.
