--- a/src/logic.rs
+++ b/src/logic.rs
@@ -88,8 +88,8 @@
 /// A backend in another zone looks this much slower for each point of price: prices are small, so is this.
 const ZONE_BIAS: f64 = 5.0;
 /// A cold backend gets its capacity's share of an even part of all sends, times this at first and as much
-/// again as it warms up: the more it bears, the less chance weighs. Warm ones get no more than they can do, so
-/// all gateways together stay under the multiple that fells it.
+/// again as it warms up: the more it bears, the less chance weighs. Warm ones get no more than they can do,
+/// so all gateways together stay under the multiple that fells it.
 const COLD_LEAST: f64 = 0.75;
 /// Time between housekeeping rounds, in ms: short beside any aim.
 const SWEEP: Millis = 25.0;
