Read the window before at every start of a gateway, not only where its clock is wrong

What callers saw: beside a running fleet a starting gateway served a spent quota once more, up to 1.24 of the quota over 9 s on two real gateways and 1.29 in virtual time (2 units a second, burst 10).

Cause: the count of a window does not show what was spent before its edge. WindowClock::update noted a join only after FleetTime::Converging, which a gateway with the right clock never enters, so it did not read the window before.

Change: every first synchronization counts as a join, also that of a gateway that is alone. If the read fails, other gateways are taken to have left an even part of the burst.

--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -13,8 +13,8 @@
 use crate::socket::SharedStream;
 use crate::task::spawn;
 use ryefront_policy::{
-    Action, Arrival, AttemptEnd, CounterResult, Event, Millis, Name, Outcome, PolicyEngine, RequestId,
-    Settings, SettingsError,
+    Action, Arrival, AttemptEnd, CounterResult, Event, FleetTime, Millis, Name, Outcome, PolicyEngine,
+    RequestId, Settings, SettingsError,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -287,11 +287,12 @@
 /// Keeps an engine's clock synchronized with the fleet's until the engine is dropped.
 async fn synchronize_clock(engine: Weak<Engine>) {
     if let Some(engine) = engine.upgrade() {
+        // What was counted before this process started is not known, also where no other gateway runs.
+        engine.post(Event::FleetClock { time: FleetTime::Pending });
+        engine.post(Event::FleetClock { time: engine.fleet_clock.time() });
         if !engine.fleet_clock.is_shared() {
             return;
         }
-        let time = engine.fleet_clock.time();
-        engine.post(Event::FleetClock { time });
     }
     while let Some(engine) = engine.upgrade() {
         engine.poll_fleet_clock();
--- a/gateway/tests/common/counter.rs
+++ b/gateway/tests/common/counter.rs
@@ -143,6 +143,10 @@
         let mut entries = self.entries.lock().expect("lock");
         let now = Instant::now();
         if entries.get(&command[1]).is_none_or(|entry| entry.expires_at <= now) {
+            // A key that is only read holds nothing.
+            if amount == 0.0 {
+                return "$1\r\n0\r\n".into();
+            }
             let time_to_live = Duration::from_millis(time_to_live_ms.min(MAX_TIME_TO_LIVE_MS));
             entries.insert(command[1].clone(), Entry { total: 0.0, expires_at: now + time_to_live });
         }
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -196,6 +196,13 @@
     },
 }
 
+impl FleetTime {
+    /// Returns whether the offset is known.
+    pub(crate) fn is_synchronized(self) -> bool {
+        matches!(self, Self::Synchronized { .. })
+    }
+}
+
 impl Default for FleetTime {
     fn default() -> Self {
         Self::Synchronized { offset: 0.0 }
--- a/policy/src/fleet_clock.rs
+++ b/policy/src/fleet_clock.rs
@@ -156,8 +156,11 @@
         self.gateway_count > 1.0
     }
 
-    /// Returns what is known of the fleet's time.
+    /// Returns what is known of the fleet's time. A gateway that is alone uses its own.
     pub fn time(&self) -> FleetTime {
+        if !self.is_shared() {
+            return FleetTime::Synchronized { offset: 0.0 };
+        }
         match self.bounds {
             None if self.consecutive_failures == 0 && self.gateway_count <= SMALL_FLEET => FleetTime::Pending,
             None => FleetTime::Unavailable,
--- a/policy/src/quota/counter_call.rs
+++ b/policy/src/quota/counter_call.rs
@@ -1,9 +1,10 @@
 //! The calls that a tenant makes to the counter: what is added, to which key.
 
+use super::counter_calls::CallKind;
 use super::decayed_count::increment_weight;
 use super::lease::Increment;
 use super::share::QuotaShare;
-use super::tenant::{PendingCall, Tenant};
+use super::tenant::Tenant;
 use super::window::Now;
 use super::{IDLE_PERIODS, MAX_RETENTION};
 use crate::Millis;
@@ -13,6 +14,7 @@
 
 /// A counter call to make.
 pub(super) struct CounterCall {
+    pub(super) kind: CallKind,
     pub(super) key: u64,
     pub(super) amount: f64,
     /// How long a new key is kept.
@@ -23,8 +25,8 @@
     /// Returns the call that reads the total of the window before, and notes it as pending.
     pub(super) fn read_previous(tenant: &mut Tenant, share: QuotaShare<'_>) -> Self {
         let window = tenant.lease.window().wrapping_sub(1);
-        tenant.set_pending_call(PendingCall::ReadPrevious { window });
-        Self { key: share.counter_key(window), amount: 0.0, ttl: READ_TTL }
+        tenant.set_pending_read(window);
+        Self { kind: CallKind::ReadPrevious, key: share.counter_key(window), amount: 0.0, ttl: READ_TTL }
     }
 
     /// Returns the call that adds a lease block and the unreported usage, and notes it as pending.
@@ -41,14 +43,15 @@
             lease_block(tenant, share, draining)
         };
         let unreported = tenant.lease.take_unreported();
-        tenant.set_pending_call(PendingCall::Increment(Increment { window, block, unreported }));
+        tenant.set_pending_increment(Increment { window, block, unreported });
         let (weight, ttl) = if low_quota {
             let elapsed = share.schedule().elapsed(window, now);
             (increment_weight(elapsed, share.refill_period()), length)
         } else {
             (1.0, (length * IDLE_PERIODS).min(MAX_RETENTION))
         };
-        Self { key: share.counter_key(window), amount: (block + unreported) * weight, ttl }
+        let amount = (block + unreported) * weight;
+        Self { kind: CallKind::Increment, key: share.counter_key(window), amount, ttl }
     }
 }
 
--- a/policy/src/quota/counter_calls.rs
+++ b/policy/src/quota/counter_calls.rs
@@ -27,10 +27,26 @@
 /// The counter counts as unavailable only if the last reply is more than this many call timeouts ago.
 const UNAVAILABLE_AFTER_TIMEOUTS: f64 = 3.0;
 
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum CallKind {
+    /// Adds a lease block and the unreported usage.
+    Increment,
+    /// Reads the total of the window before the present one.
+    ReadPrevious,
+}
+
+/// A call without a reply.
+#[derive(Debug)]
+pub(crate) struct CallInFlight {
+    pub(crate) tenant: Name,
+    pub(crate) kind: CallKind,
+}
+
 /// The calls of one gateway to the counter.
 #[derive(Debug)]
 pub(crate) struct CounterCalls {
-    tenant_by_key: BTreeMap<u64, Name>,
+    in_flight_by_key: BTreeMap<u64, CallInFlight>,
     /// The fraction of the wanted calls that the counter keeps up with, by how fast it replies.
     call_ratio: f64,
     consecutive_failures: u32,
@@ -47,7 +63,7 @@
     pub(crate) fn new(settings: &Settings) -> Self {
         let waits = settings.classes.iter().map(|class| class.latency_objective * MAX_WAIT_FRACTION);
         Self {
-            tenant_by_key: BTreeMap::new(),
+            in_flight_by_key: BTreeMap::new(),
             call_ratio: 1.0,
             consecutive_failures: 0,
             last_reply_at: 0.0,
@@ -74,12 +90,12 @@
     }
 
     pub(crate) fn none_in_flight(&self) -> bool {
-        self.tenant_by_key.is_empty()
+        self.in_flight_by_key.is_empty()
     }
 
     /// Returns whether no further call fits beside those in flight.
     pub(crate) fn is_full(&self) -> bool {
-        self.tenant_by_key.len() as f64 >= (MAX_CALLS_IN_FLIGHT * self.call_ratio).max(1.0)
+        self.in_flight_by_key.len() as f64 >= (MAX_CALLS_IN_FLIGHT * self.call_ratio).max(1.0)
     }
 
     /// Returns whether several consecutive calls have failed and the last reply is long ago.
@@ -90,20 +106,20 @@
     }
 
     /// Notes a call for a tenant.
-    pub(crate) fn started(&mut self, key: u64, tenant: Name) {
-        self.tenant_by_key.insert(key, tenant);
+    pub(crate) fn started(&mut self, key: u64, tenant: Name, kind: CallKind) {
+        self.in_flight_by_key.insert(key, CallInFlight { tenant, kind });
     }
 
-    /// Notes the end of a call, and returns its tenant.
-    pub(crate) fn ended(&mut self, key: u64, result: CounterResult, latency: Millis) -> Option<Name> {
-        let tenant = self.tenant_by_key.remove(&key)?;
+    /// Notes the end of a call, and returns what it was.
+    pub(crate) fn ended(&mut self, key: u64, result: CounterResult, latency: Millis) -> Option<CallInFlight> {
+        let call = self.in_flight_by_key.remove(&key)?;
         let slowness = match result {
             CounterResult::Total(_) => latency / self.fast_reply,
             CounterResult::NotAdded | CounterResult::Unknown => f64::INFINITY,
         };
         let step = CALL_RATIO_STEP * (1.0 - slowness).max(-MAX_DECREASE_FACTOR);
         self.call_ratio = (self.call_ratio * (1.0 + step)).clamp(MIN_CALL_RATIO, 1.0);
-        Some(tenant)
+        Some(call)
     }
 
     /// Notes a call that returned a total. Returns whether it ends an unavailability that was logged.
--- a/policy/src/quota/gate.rs
+++ b/policy/src/quota/gate.rs
@@ -1,11 +1,11 @@
 //! The admission gate over all tenants: decides for requests, and handles the replies of the counter.
 
 use super::counter_call::{CounterCall, needs_previous_total};
-use super::counter_calls::CounterCalls;
+use super::counter_calls::{CallInFlight, CallKind, CounterCalls};
 use super::fallback::FallbackStart;
-use super::lease::{BLOCK_FRACTION, Increment, IncrementReply};
+use super::lease::{BLOCK_FRACTION, IncrementReply};
 use super::low_quota::{LowQuotaReply, LowQuotaTenants};
-use super::tenant::{PendingCall, Tenant, TenantArrival};
+use super::tenant::{Tenant, TenantArrival};
 use super::window::{Now, WindowClock};
 use super::{
     IDLE_PERIODS, QuotaDecision, QuotaReading, QuotaRequest, QuotaShortfall, QuotaSource, ReplyOutcome,
@@ -236,49 +236,66 @@
         let share = tenant.share(&self.plans);
         tenant.lease.advance(now, share);
         let joined = self.clock.joined_within(now.local, share.refill_period());
-        let call = if joined && needs_previous_total(tenant, share) {
-            CounterCall::read_previous(tenant, share)
-        } else {
-            CounterCall::increment(tenant, share, self.draining, self.calls.call_ratio(), now)
-        };
-        self.calls.started(call.key, name.clone());
-        actions.push(Action::IncrementCounter { key: call.key, amount: call.amount, ttl: call.ttl });
+        let read = (joined && needs_previous_total(tenant, share))
+            .then(|| CounterCall::read_previous(tenant, share));
+        let increment = CounterCall::increment(tenant, share, self.draining, self.calls.call_ratio(), now);
+        for call in read.into_iter().chain([increment]) {
+            self.calls.started(call.key, name.clone(), call.kind);
+            actions.push(Action::IncrementCounter { key: call.key, amount: call.amount, ttl: call.ttl });
+        }
     }
 
     /// Handles the end of a counter call.
     pub(crate) fn on_counter_reply(
         &mut self, key: u64, result: CounterResult, latency: Millis, now: Millis, actions: &mut Vec<Action>,
     ) -> ReplyOutcome {
-        let Some(name) = self.calls.ended(key, result, latency) else { return ReplyOutcome::Nothing };
-        let CounterResult::Total(total) = result else {
-            return self.on_call_failed(&name, result, now, actions);
+        let call = self.calls.ended(key, result, latency);
+        let Some(CallInFlight { tenant, kind }) = call else { return ReplyOutcome::Nothing };
+        let total = match result {
+            CounterResult::Total(total) => Some(total),
+            CounterResult::NotAdded | CounterResult::Unknown => None,
         };
-        if self.calls.record_reply(now) {
+        if total.is_none() {
+            self.record_failure(now, actions);
+        } else if self.calls.record_reply(now) {
             actions.push(Action::Log("counter available again".into()));
         }
-        self.on_total(&name, total, now, actions)
+        match (kind, total) {
+            (CallKind::ReadPrevious, total) => self.on_previous_read(&tenant, total, now),
+            (CallKind::Increment, Some(total)) => self.on_total(&tenant, total, now, actions),
+            (CallKind::Increment, None) => self.on_increment_failed(&tenant, result),
+        }
     }
 
-    fn on_total(&mut self, name: &Name, total: f64, now: Millis, actions: &mut Vec<Action>) -> ReplyOutcome {
-        let window_now = self.clock.now(now);
+    /// Without the total of the window before, other gateways are taken to have left an even part of the burst.
+    fn on_previous_read(&mut self, name: &Name, total: Option<f64>, now: Millis) -> ReplyOutcome {
         let Some(tenant) = self.tenants.get_mut(name) else { return ReplyOutcome::Nothing };
         let share = tenant.share(&self.plans);
-        let increment = match tenant.take_pending_call() {
-            None => return ReplyOutcome::Nothing,
-            Some(PendingCall::ReadPrevious { window }) => {
-                tenant.lease.set_previous(window, total);
-                self.request_block(name, now, actions);
-                return ReplyOutcome::Nothing;
-            }
-            Some(PendingCall::Increment(increment)) => increment,
-        };
-        if share.is_low_quota() {
+        let total = total.unwrap_or(share.plan.burst * (1.0 - 1.0 / share.gateways));
+        match tenant.end_pending_read(total) {
+            Some(reply) => self.apply_reply(name, reply, now),
+            None => ReplyOutcome::Nothing,
+        }
+    }
+
+    fn on_total(&mut self, name: &Name, total: f64, now: Millis, actions: &mut Vec<Action>) -> ReplyOutcome {
+        let Some(tenant) = self.tenants.get_mut(name) else { return ReplyOutcome::Nothing };
+        let Some(increment) = tenant.take_pending_increment() else { return ReplyOutcome::Nothing };
+        if tenant.share(&self.plans).is_low_quota() {
             let call_ratio = self.calls.call_ratio();
             let reply = LowQuotaReply { increment, total, call_ratio };
-            return self.on_low_quota_reply(name, reply, window_now, actions);
+            return self.on_low_quota_reply(name, reply, self.clock.now(now), actions);
+        }
+        match tenant.hold_for_pending_read(IncrementReply { increment, total }) {
+            Some(reply) => self.apply_reply(name, reply, now),
+            None => ReplyOutcome::Nothing,
         }
-        let reply = IncrementReply { increment, total };
-        tenant.apply_reply(reply, self.calls.recovered_at(), window_now, share);
+    }
+
+    fn apply_reply(&mut self, name: &Name, reply: IncrementReply, now: Millis) -> ReplyOutcome {
+        let Some(tenant) = self.tenants.get_mut(name) else { return ReplyOutcome::Nothing };
+        let share = tenant.share(&self.plans);
+        tenant.apply_reply(reply, self.calls.recovered_at(), self.clock.now(now), share);
         ReplyOutcome::LeaseUpdated {
             tenant: name.clone(),
             waiting: tenant.take_waiting(),
@@ -300,19 +317,21 @@
         ReplyOutcome::RatioUpdated { waiting }
     }
 
-    /// Without a total the fallback decides for the requests that wait, and a block that may have been added
-    /// is lost.
-    fn on_call_failed(
-        &mut self, name: &Name, result: CounterResult, now: Millis, actions: &mut Vec<Action>,
-    ) -> ReplyOutcome {
+    fn record_failure(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.calls.record_failure();
         if self.is_counter_unavailable(now) && self.calls.record_unavailability() {
             actions.push(Action::Log("counter unavailable: spending leases and fallback allowances".into()));
         }
+    }
+
+    /// Without a total the fallback decides for the requests that wait, and a block that may have been added
+    /// is lost.
+    fn on_increment_failed(&mut self, name: &Name, result: CounterResult) -> ReplyOutcome {
         let Some(tenant) = self.tenants.get_mut(name) else { return ReplyOutcome::Nothing };
-        if let Some(PendingCall::Increment(Increment { unreported, .. })) = tenant.take_pending_call() {
+        if let Some(increment) = tenant.take_pending_increment() {
             // Usage that may have been added is added once more, but units that may have been returned are
             // not returned twice: the count may be too high, never too low.
+            let unreported = increment.unreported;
             let may_be_added = result == CounterResult::Unknown;
             tenant.lease.add_unreported(if may_be_added { unreported.max(0.0) } else { unreported });
         }
--- a/policy/src/quota/tenant.rs
+++ b/policy/src/quota/tenant.rs
@@ -37,13 +37,15 @@
     }
 }
 
-/// A counter call without a reply.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum PendingCall {
-    /// Reads the total of the window before the present one.
-    ReadPrevious { window: WindowNumber },
-    /// Adds a lease block and the unreported usage.
-    Increment(Increment),
+/// The counter calls of one tenant that have not ended, or whose replies have not been applied.
+#[derive(Debug, Default)]
+struct PendingCalls {
+    /// What is being added.
+    increment: Option<Increment>,
+    /// The window before the present one, while its total is being read.
+    previous_window: Option<WindowNumber>,
+    /// The reply to an increment that came before that total.
+    held_reply: Option<IncrementReply>,
 }
 
 /// One tenant.
@@ -61,7 +63,7 @@
     pub(super) demand: Demand,
     /// The allowance spent while the counter is unavailable.
     fallback: Option<FallbackAllowance>,
-    pending_call: Option<PendingCall>,
+    pending: PendingCalls,
     waiting: VecDeque<WaitingRequest>,
     /// Attempts in flight.
     in_flight: u32,
@@ -78,7 +80,7 @@
             lease: LeaseCache::new(initial_quota, now),
             demand: Demand::new(now),
             fallback: None,
-            pending_call: None,
+            pending: PendingCalls::default(),
             waiting: VecDeque::new(),
             in_flight: 0,
         }
@@ -159,16 +161,41 @@
         self.lease.apply_reply(reply, fallback, recovered_at, now, share);
     }
 
+    /// Returns whether a call has not ended, or its reply has not been applied.
     pub(crate) fn has_pending_call(&self) -> bool {
-        self.pending_call.is_some()
+        let PendingCalls { increment, previous_window, held_reply } = &self.pending;
+        increment.is_some() || previous_window.is_some() || held_reply.is_some()
+    }
+
+    pub(crate) fn set_pending_increment(&mut self, increment: Increment) {
+        self.pending.increment = Some(increment);
+    }
+
+    pub(crate) fn take_pending_increment(&mut self) -> Option<Increment> {
+        self.pending.increment.take()
+    }
+
+    /// Notes that the total of the window before the present one is being read.
+    pub(crate) fn set_pending_read(&mut self, previous_window: WindowNumber) {
+        self.pending.previous_window = Some(previous_window);
     }
 
-    pub(crate) fn set_pending_call(&mut self, call: PendingCall) {
-        self.pending_call = Some(call);
+    /// Notes the total of the window before, once its read has ended. Returns the reply to an increment that
+    /// was held for it.
+    pub(crate) fn end_pending_read(&mut self, total: f64) -> Option<IncrementReply> {
+        let window = self.pending.previous_window.take()?;
+        self.lease.set_previous(window, total);
+        self.pending.held_reply.take()
     }
 
-    pub(crate) fn take_pending_call(&mut self) -> Option<PendingCall> {
-        self.pending_call.take()
+    /// Holds the reply to an increment while the total of the window before is being read. Returns the reply
+    /// if it can be applied now.
+    pub(crate) fn hold_for_pending_read(&mut self, reply: IncrementReply) -> Option<IncrementReply> {
+        if self.pending.previous_window.is_none() {
+            return Some(reply);
+        }
+        self.pending.held_reply = Some(reply);
+        None
     }
 
     /// Iterates over the requests that wait for a reply.
@@ -196,6 +223,6 @@
 
     /// Returns whether something of the tenant is still in progress.
     pub(crate) fn is_busy(&self) -> bool {
-        self.pending_call.is_some() || self.in_flight > 0 || !self.waiting.is_empty()
+        self.has_pending_call() || self.in_flight > 0 || !self.waiting.is_empty()
     }
 }
--- a/policy/src/quota/window.rs
+++ b/policy/src/quota/window.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct WindowClock {
     fleet_time: FleetTime,
-    /// When this gateway synchronized with a fleet that had been counting before.
+    /// When this gateway synchronized with a fleet that may have been counting before.
     joined_at: Millis,
 }
 
@@ -34,8 +34,9 @@
 
     /// Notes what the host knows of the fleet's clock by now.
     pub(crate) fn update(&mut self, fleet_time: FleetTime, local: Millis) {
-        let before = std::mem::replace(&mut self.fleet_time, fleet_time);
-        if before == FleetTime::Converging && fleet_time != before {
+        let was_synchronized = self.fleet_time.is_synchronized();
+        self.fleet_time = fleet_time;
+        if fleet_time.is_synchronized() && !was_synchronized {
             self.joined_at = local;
         }
     }
@@ -55,7 +56,7 @@
         self.fleet_time == FleetTime::Pending
     }
 
-    /// Returns whether this gateway synchronized with a running fleet less than `period` ago.
+    /// Returns whether this gateway synchronized with its fleet less than `period` ago.
     pub(crate) fn joined_within(&self, local: Millis, period: Millis) -> bool {
         local - self.joined_at < period
     }
--- /dev/null
+++ b/policy/tests/gateway_start/main.rs
@@ -0,0 +1,89 @@
+//! What a fleet serves of one tenant's quota when a gateway starts beside running ones, at each of twelve moments of the tenant's window. `--nocapture` prints the fractions of all cases.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod simulation;
+
+use ryefront_policy::Millis;
+use simulation::{Quota, Simulation};
+
+const HOUR: Millis = 3_600_000.0;
+const MOMENTS: u32 = 12;
+/// The first gateways serve alone for this long, then another starts.
+const ALONE: Millis = 3000.0;
+const RUN_TIME: Millis = 9000.0;
+/// Bursts of two and a half, three and five seconds.
+const QUOTAS: [Quota; 3] =
+    [Quota { rate: 12.0, burst: 30.0 }, Quota { rate: 20.0, burst: 60.0 }, Quota { rate: 2.0, burst: 10.0 }];
+
+/// The moments of a window, as the time by which the whole run is shifted against the windows.
+fn moments(quota: Quota) -> impl Iterator<Item = Millis> {
+    (0..MOMENTS).map(move |moment| quota.window() * f64::from(moment) / f64::from(MOMENTS))
+}
+
+/// Prints the fractions of a case by moment, and returns those that are out of bounds.
+fn out_of_bounds(case: &str, fractions: &[f64]) -> Vec<String> {
+    println!("{case}: {fractions:.2?}");
+    let out = fractions.iter().filter(|fraction| !(0.95..=1.05).contains(*fraction));
+    out.map(|fraction| format!("{case}: {fraction:.3}")).collect()
+}
+
+/// What is served when one gateway of a fleet starts beside the others, by moment.
+fn fractions_at_start(gateway_count: u32, quota: Quota, skew: Millis) -> Vec<f64> {
+    let fraction = |moment| {
+        let last = gateway_count as usize - 1;
+        let mut simulation =
+            Simulation::new(gateway_count, quota, |index| moment + if index == last { skew } else { 0.0 });
+        (0..last).for_each(|gateway| simulation.start(gateway, 0.0));
+        simulation.start(last, ALONE);
+        simulation.play(RUN_TIME)
+    };
+    moments(quota).map(fraction).collect()
+}
+
+/// Plays a start beside running gateways for all quotas and skews.
+fn assert_quota_holds_at_start(gateway_count: u32) {
+    let mut violations = Vec::new();
+    for quota in QUOTAS {
+        for skew in [0.0, -HOUR, HOUR] {
+            let case = format!("{gateway_count} gateways, {quota:?}, skew {skew} ms");
+            violations.extend(out_of_bounds(&case, &fractions_at_start(gateway_count, quota, skew)));
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+// A gateway that joined a running fleet with the right clock took a spent quota for full.
+#[test]
+fn quota_holds_when_a_gateway_starts_beside_a_running_one() {
+    assert_quota_holds_at_start(2);
+}
+
+// The same in a larger fleet.
+#[test]
+fn quota_holds_when_a_gateway_starts_beside_seven_running_ones() {
+    assert_quota_holds_at_start(8);
+}
+
+#[test]
+fn admission_is_not_held_back_when_a_whole_fleet_starts() {
+    for gateway_count in [2, 8, 30] {
+        let quota = Quota { rate: 20.0, burst: 60.0 };
+        let mut simulation = Simulation::new(gateway_count, quota, |_| 0.0);
+        (0..gateway_count as usize).for_each(|gateway| simulation.start(gateway, 0.0));
+
+        simulation.play(1000.0);
+        let first_served: Vec<_> = simulation.first_served_at.iter().flatten().copied().collect();
+        let latest = first_served.iter().copied().fold(0.0, f64::max);
+        println!(
+            "{gateway_count} gateways: served by {} within {latest:.1} ms, {} calls of the tenant, {} of the clocks",
+            first_served.len(),
+            simulation.tenant_calls,
+            simulation.clock_calls
+        );
+
+        assert_eq!(first_served.len(), gateway_count as usize);
+        assert!(latest <= 12.0, "{gateway_count} gateways: {latest} ms");
+    }
+}
