Read the window before again after the process was paused

Cause: between replies the remaining quota refills locally, and only the increase of the total in the same window corrects it. What others spent before an edge is in a count that is not read.

Change: the host posts Event::ProcessResumed when no event was handled for 250 ms, though maintenance is due every 25 ms. The gate discards readings of windows that ended meanwhile and takes the moment for a join. Where the last total seen is of the window before, the quota is computed from that total.

--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -13,8 +13,8 @@
 use crate::socket::SharedStream;
 use crate::task::spawn;
 use ryefront_policy::{
-    Action, Arrival, AttemptEnd, CounterResult, Event, FleetTime, Millis, Name, Outcome, PolicyEngine,
-    RequestId, Settings, SettingsError,
+    Action, Arrival, AttemptEnd, CounterResult, Event, FleetTime, MIN_REPORTED_PAUSE, Millis, Name, Outcome,
+    PolicyEngine, RequestId, Settings, SettingsError,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -41,6 +41,8 @@
     /// Events that the policy has not handled yet.
     events: RefCell<VecDeque<Event>>,
     is_handling_events: Cell<bool>,
+    /// When the policy last handled an event.
+    last_event_at: Cell<Millis>,
     /// For tasks, which must not keep the engine alive.
     weak_self: Weak<Self>,
 }
@@ -67,6 +69,7 @@
             requests: RefCell::default(),
             events: RefCell::default(),
             is_handling_events: Cell::new(false),
+            last_event_at: Cell::new(clock.now()),
             weak_self: weak_self.clone(),
         }))
     }
@@ -115,6 +118,7 @@
     /// Posts an event and performs the actions it leads to. Events posted by these actions are queued, so the
     /// policy never handles one while the actions of another are performed.
     fn post(&self, event: Event) {
+        self.report_pause();
         self.events.borrow_mut().push_back(event);
         if self.is_handling_events.replace(true) {
             return;
@@ -122,12 +126,23 @@
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.events.borrow_mut().pop_front() else { break };
-            self.policy.borrow_mut().handle(self.clock.now(), event, &mut actions);
+            let now = self.clock.now();
+            self.last_event_at.set(now);
+            self.policy.borrow_mut().handle(now, event, &mut actions);
             actions.drain(..).for_each(|action| self.perform(action));
         }
         self.is_handling_events.set(false);
     }
 
+    /// Posts that the process was paused, if it was: the policy sets its maintenance timer anew all the time, so
+    /// while the process runs no long time passes between two events.
+    fn report_pause(&self) {
+        let pause = self.clock.now() - self.last_event_at.get();
+        if pause >= MIN_REPORTED_PAUSE && !self.is_handling_events.get() {
+            self.events.borrow_mut().push_back(Event::ProcessResumed);
+        }
+    }
+
     fn perform(&self, action: Action) {
         match action {
             Action::ForwardAttempt { id, endpoint, timeout, write_timeout } => {
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -177,9 +177,10 @@
 async fn invalid_counter_reply_is_logged_once_a_connection_with_what_was_found_and_expected() {
     for InvalidReply { text, found, expected } in invalid_replies() {
         let endpoint = TestEndpoint::ok("x").await;
-        // The first refill period, in which two calls may be in flight, is over before the first request.
-        let options = GatewayOptions { refill_rate: 5000.0, burst: 50.0, ..small_quota(&endpoint) };
+        let options = GatewayOptions { refill_rate: 250.0, burst: 50.0, ..small_quota(&endpoint) };
         let env = TestEnvironment::start(&options, CounterBehavior::AddAndReplyWith(text)).await;
+        // In the refill period of 200 ms after its start a gateway makes two calls at once.
+        sleep_ms(250).await;
 
         within_timeout("several calls on a connection", async {
             while env.counter.call_count() as usize <= 2 * CONNECTION_COUNT {
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -2,6 +2,9 @@
 
 use crate::{Millis, Name, RequestId};
 
+/// A host reports a pause of its process that is at least this long. Shorter ones happen on a busy machine.
+pub const MIN_REPORTED_PAUSE: Millis = 250.0;
+
 /// Something that happened, passed to [`PolicyEngine::handle`](crate::PolicyEngine::handle).
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -55,6 +58,9 @@
         /// The fleet's time.
         time: FleetTime,
     },
+    /// The process goes on after a pause of [`MIN_REPORTED_PAUSE`] or more: it was stopped, or got no processor
+    /// time. What other gateways did meanwhile is not known.
+    ProcessResumed,
     /// A graceful shutdown started: no more requests arrive.
     DrainStarted,
     /// A message from another gateway.
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -108,7 +108,8 @@
 pub use action::Action;
 pub use engine::{MAINTENANCE_TOKEN, PolicyEngine};
 pub use event::{
-    Arrival, AttemptEnd, CounterResult, EndpointEntry, EndpointState, Event, FleetTime, LoadReport, Outcome,
+    Arrival, AttemptEnd, CounterResult, EndpointEntry, EndpointState, Event, FleetTime, LoadReport,
+    MIN_REPORTED_PAUSE, Outcome,
 };
 pub use settings::{
     DedupScope, Idempotency, LoadReportSource, QuotaPlan, RequestClass, Settings, SettingsError,
--- a/policy/src/quota/gate.rs
+++ b/policy/src/quota/gate.rs
@@ -57,6 +57,21 @@
         self.clock.update(time, now);
     }
 
+    /// Notes that the process goes on after a pause. Readings of windows that ended meanwhile say nothing of
+    /// what other gateways spent since, as for a gateway that joins a running fleet.
+    pub(crate) fn resume(&mut self, now: Millis) {
+        self.clock.rejoin(now);
+        let window_now = self.clock.now(now);
+        for tenant in self.tenants.values_mut() {
+            let share = tenant.share(&self.plans);
+            let window_before = tenant.lease.window();
+            tenant.lease.advance(window_now, share);
+            if tenant.lease.window() != window_before && !share.is_low_quota() {
+                tenant.lease.forget_reading();
+            }
+        }
+    }
+
     /// Notes a message from another gateway.
     pub(crate) fn record_gossip(&mut self, bytes: &[u8], now: Millis) {
         self.low_quota.record_gossip(bytes, now);
--- a/policy/src/quota/lease.rs
+++ b/policy/src/quota/lease.rs
@@ -25,7 +25,7 @@
 /// Totals that differ by less are equal: the counter is exact to a limited number of digits.
 const TOTAL_TOLERANCE: f64 = 1e-6;
 
-/// The total of an earlier window, read by a gateway that joins a running fleet.
+/// The total of a window that is over.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PreviousWindow {
     pub(crate) window: WindowNumber,
@@ -63,12 +63,15 @@
     /// The quota that is left by all totals so far; it refills in between.
     remaining: f64,
     refilled_at: Millis,
-    /// Whether there has been a reading.
+    /// Whether there has been a reading that still holds.
     has_reading: bool,
     last_reply_at: Millis,
     /// Units used but not added to a count yet; negative if units are to be returned.
     unreported: f64,
+    /// The total of the window before, read from the counter.
     previous: Option<PreviousWindow>,
+    /// The last total that a reply in an earlier window returned.
+    last_of_earlier: Option<PreviousWindow>,
 }
 
 impl LeaseCache {
@@ -84,6 +87,7 @@
             last_reply_at: 0.0,
             unreported: 0.0,
             previous: None,
+            last_of_earlier: None,
         }
     }
 
@@ -99,6 +103,9 @@
         let window = share.schedule().window_at(now);
         if window != self.window {
             self.remaining = (self.remaining + self.leased).min(share.plan.burst);
+            if self.last_total > 0.0 {
+                self.last_of_earlier = Some(PreviousWindow { window: self.window, total: self.last_total });
+            }
             self.window = window;
             self.leased = 0.0;
             self.added = 0.0;
@@ -131,6 +138,11 @@
         !std::mem::replace(&mut self.has_reading, true)
     }
 
+    /// Discards what the readings so far say of the remaining quota.
+    pub(super) fn forget_reading(&mut self) {
+        self.has_reading = false;
+    }
+
     /// Returns the units that this gateway may still spend or lease.
     pub(super) fn available(&self) -> f64 {
         self.remaining + self.leased
@@ -247,7 +259,7 @@
             // The total covers the present window alone, which may have begun just now, so the fallback
             // allowance bounds the quota as well.
             let bound = fallback.map_or(f64::INFINITY, |fallback| fallback.units * share.gateways);
-            self.remaining = self.quota_by_first_total(increment.window, total, now, share).min(bound);
+            self.remaining = self.quota_by_first_total(reply, now, share).min(bound);
         } else if total + TOTAL_TOLERANCE < self.added {
             // The counter lost its counts: what this gateway holds is added again, so that new blocks of
             // other gateways do not come on top of it.
@@ -274,15 +286,24 @@
 
     /// Returns the quota left by the first total of a window and, if it is known, the total of the window
     /// before.
-    fn quota_by_first_total(&self, window: WindowNumber, total: f64, now: Now, share: QuotaShare<'_>) -> f64 {
+    fn quota_by_first_total(&self, reply: IncrementReply, now: Now, share: QuotaShare<'_>) -> f64 {
+        let IncrementReply { increment: Increment { window, unreported, .. }, total } = reply;
         let plan = share.plan;
         let by_window = ceiling::initial_quota(plan) - total;
         let previous = self.previous.filter(|previous| previous.window.wrapping_add(1) == window);
-        previous.map_or(by_window, |previous| {
-            // The units of the window before may all have been used at its end, with no refill since.
-            let at_start = (plan.burst - previous.total).clamp(0.0, plan.burst);
-            let refilled = plan.rate * share.schedule().elapsed(window, now) / 1000.0;
-            by_window.min(at_start + refilled - total)
+        let Some(previous) = previous else { return by_window };
+        // The units of the window before may all have been used at its end, with no refill since.
+        let at_start = (plan.burst - previous.total).clamp(0.0, plan.burst);
+        let refilled = plan.rate * share.schedule().elapsed(window, now) / 1000.0;
+        let least = by_window.min(at_start + refilled - total);
+        // Under a ceiling no more than the totals show is taken for left.
+        let last_seen = self
+            .last_of_earlier
+            .filter(|last_seen| last_seen.window == previous.window && plan.ceiling_rate <= 0.0);
+        last_seen.map_or(least, |last_seen| {
+            // This gateway knows the quota as of its last reply, and what was used since.
+            let used_by_others = previous.total - last_seen.total + total - unreported;
+            least.max(self.remaining - used_by_others.max(0.0))
         })
     }
 }
--- a/policy/src/quota/window.rs
+++ b/policy/src/quota/window.rs
@@ -37,10 +37,15 @@
         let was_synchronized = self.fleet_time.is_synchronized();
         self.fleet_time = fleet_time;
         if fleet_time.is_synchronized() && !was_synchronized {
-            self.joined_at = local;
+            self.rejoin(local);
         }
     }
 
+    /// Notes that this gateway does not know what its fleet counted until now.
+    pub(crate) fn rejoin(&mut self, local: Millis) {
+        self.joined_at = local;
+    }
+
     pub(crate) fn now(&self, local: Millis) -> Now {
         let offset = if let FleetTime::Synchronized { offset } = self.fleet_time { offset } else { 0.0 };
         Now { local, fleet: (local + offset).rem_euclid(CYCLE) }
--- a/policy/tests/gateway_start/main.rs
+++ b/policy/tests/gateway_start/main.rs
@@ -1,4 +1,5 @@
-//! What a fleet serves of one tenant's quota when a gateway starts beside running ones, at each of twelve moments of the tenant's window. `--nocapture` prints the fractions of all cases.
+//! What a fleet serves of one tenant's quota when a gateway starts beside running ones, or goes on after a
+//! pause, at each of twelve moments of the tenant's window. `--nocapture` prints the fractions of all cases.
 
 #[path = "../common/mod.rs"]
 mod common;
@@ -42,6 +43,19 @@
     moments(quota).map(fraction).collect()
 }
 
+/// What is served when one of two running gateways is stopped for a while, by moment.
+fn fractions_at_pause(quota: Quota, skew: Millis, pause: Millis) -> Vec<f64> {
+    let fraction = |moment| {
+        let skews = [moment, moment + skew];
+        let mut simulation = Simulation::new(2, quota, |index| skews[index]);
+        simulation.start(0, 0.0);
+        simulation.start(1, ALONE);
+        simulation.stop(0, ALONE + 1500.0, pause);
+        simulation.play(RUN_TIME)
+    };
+    moments(quota).map(fraction).collect()
+}
+
 /// Plays a start beside running gateways for all quotas and skews.
 fn assert_quota_holds_at_start(gateway_count: u32) {
     let mut violations = Vec::new();
@@ -66,6 +80,21 @@
     assert_quota_holds_at_start(8);
 }
 
+// A gateway that went on after a pause counted the time as refill of its own.
+#[test]
+fn quota_holds_when_a_gateway_goes_on_after_a_pause() {
+    let mut violations = Vec::new();
+    for quota in QUOTAS {
+        for pause in [600.0, 1500.0, 3000.0] {
+            for skew in [0.0, -HOUR, HOUR] {
+                let case = format!("{quota:?}, paused for {pause} ms, skew {skew} ms");
+                violations.extend(out_of_bounds(&case, &fractions_at_pause(quota, skew, pause)));
+            }
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 #[test]
 fn admission_is_not_held_back_when_a_whole_fleet_starts() {
     for gateway_count in [2, 8, 30] {
--- a/policy/tests/gateway_start/simulation.rs
+++ b/policy/tests/gateway_start/simulation.rs
@@ -50,9 +50,23 @@
     clock: FleetClock,
     /// How far its wall clock is ahead of virtual time.
     skew: Millis,
+    last_event_at: Millis,
     client_of_request: HashMap<RequestId, u64>,
 }
 
+/// A time in which a gateway's process does not run.
+struct Stop {
+    gateway: usize,
+    from: Millis,
+    until: Millis,
+}
+
+impl Stop {
+    fn includes(&self, now: Millis) -> bool {
+        (self.from..self.until).contains(&now)
+    }
+}
+
 struct Total {
     value: f64,
     expires_at: Millis,
@@ -65,6 +79,7 @@
     schedule: Schedule<Step>,
     totals: HashMap<u64, Total>,
     next_request: RequestId,
+    stops: Vec<Stop>,
     /// What the tenant was served, in units.
     pub(crate) served: f64,
     /// When the first request was served at each gateway.
@@ -84,6 +99,7 @@
             schedule: Schedule::new(),
             totals: HashMap::new(),
             next_request: 0,
+            stops: Vec::new(),
             served: 0.0,
             first_served_at: vec![None; gateway_count as usize],
             tenant_calls: 0,
@@ -96,6 +112,11 @@
         self.schedule.at(at, Step::Start(gateway));
     }
 
+    /// Stops a gateway's process for a while, as SIGSTOP and SIGCONT do.
+    pub(crate) fn stop(&mut self, gateway: usize, from: Millis, time: Millis) {
+        self.stops.push(Stop { gateway, from, until: from + time });
+    }
+
     /// Plays until a time, and returns what was served since the beginning as a fraction of the quota.
     pub(crate) fn play(&mut self, until: Millis) -> f64 {
         while let Some((now, step)) = self.schedule.next() {
@@ -116,6 +137,10 @@
             | Step::ClockReply(number, _)
             | Step::Request { gateway: number, .. } => *number,
         };
+        let stopped = self.stops.iter().find(|stop| stop.gateway == number && stop.includes(now));
+        if let Some(stop) = stopped {
+            return self.schedule.at(stop.until, step);
+        }
         match step {
             Step::Start(_) => self.on_start(number, now),
             Step::Event(_, event) => self.handle(number, event, now),
@@ -137,6 +162,7 @@
     fn on_start(&mut self, number: usize, now: Millis) {
         let gateway_count = self.gateways.len() as u32;
         let gateway = &mut self.gateways[number];
+        gateway.last_event_at = now;
         gateway.clock = FleetClock::new(gateway_count, number as u64, gateway.local(now));
         let time = gateway.clock.time();
         let list = vec![endpoint("a1", EndpointState::Ready, None)];
@@ -170,7 +196,17 @@
         self.handle(number, Event::RequestArrived(arrival), now);
     }
 
+    /// Passes an event to a gateway, after the report of a pause as its host makes it.
     fn handle(&mut self, number: usize, event: Event, now: Millis) {
+        let gateway = &mut self.gateways[number];
+        let pause = now - std::mem::replace(&mut gateway.last_event_at, now);
+        if pause >= MIN_REPORTED_PAUSE {
+            self.pass(number, Event::ProcessResumed, now);
+        }
+        self.pass(number, event, now);
+    }
+
+    fn pass(&mut self, number: usize, event: Event, now: Millis) {
         let gateway = &mut self.gateways[number];
         let mut actions = Vec::new();
         gateway.engine.handle(gateway.local(now), event, &mut actions);
@@ -233,6 +269,7 @@
             engine: PolicyEngine::new(settings, u64::from(index)).expect("usable settings"),
             clock: FleetClock::new(gateway_count, 0, 0.0),
             skew: skew(index as usize),
+            last_event_at: 0.0,
             client_of_request: HashMap::new(),
         }
     }
