Ask whether a fleet was present before a gateway takes itself for its first

What callers saw: where the register of the fleet's clock was empty as a gateway with a stepped clock started, two gateways served up to 1.36 of a quota over 9 s; a single gateway that restarted after a step of its clock served a whole quota twice.

Cause: on_empty took an empty register for a fleet that does not exist. It is empty for about 50 ms of each second, and longer while its writers are held up.

Change: gateways that write the register add to one of two presence keys that are kept for a minute. A gateway that finds the register empty reads both. If a fleet was present it waits for the register, 250 ms or, if the presence contradicts its own clock, 2 s; then it uses its own time, and in the second case takes quotas as spent. All of this is logged, and so is each jump of the fleet's time. The counter stand-in of the clock's tests keeps several keys now, and that of the gateway's prints its calls with COUNTER_LOG=1.

--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -260,8 +260,11 @@
 
     fn counter_replied(&self, key: u64, result: CounterResult, latency: Millis) {
         if FleetClockSync::uses_key(key) {
-            let time = self.fleet_clock.record_reply(result);
-            self.post(Event::FleetClock { time });
+            let counts_lost = self.fleet_clock.record_reply(result);
+            self.post(Event::FleetClock { time: self.fleet_clock.time() });
+            if counts_lost {
+                self.post(Event::CountsLost);
+            }
             self.poll_fleet_clock();
         } else {
             self.post(Event::CounterReply { key, result, latency });
--- a/gateway/src/fleet_clock.rs
+++ b/gateway/src/fleet_clock.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::{Clock, duration};
 use crate::counter::CounterClient;
+use crate::log;
 use ryefront_policy::fleet_clock::FleetClock;
 use ryefront_policy::{CounterResult, FleetTime};
 use std::cell::RefCell;
@@ -28,7 +29,7 @@
 
     /// Whether replies to calls of this counter key are for [`Self::record_reply`].
     pub(crate) fn uses_key(key: u64) -> bool {
-        key == FleetClock::register_key()
+        FleetClock::uses_key(key)
     }
 
     /// Whether there are other gateways to synchronize with.
@@ -50,11 +51,14 @@
         }
     }
 
-    /// Records the reply to a call, and returns the fleet's time as [`Self::time`] does.
-    pub(crate) fn record_reply(&self, result: CounterResult) -> FleetTime {
-        let mut fleet = self.fleet.borrow_mut();
-        fleet.record_reply(self.local.now(), result);
-        fleet.time()
+    /// Records the reply to a call, and logs what an operator should know. Returns whether the counts of the
+    /// fleet were lost.
+    pub(crate) fn record_reply(&self, result: CounterResult) -> bool {
+        let Some(change) = self.fleet.borrow_mut().record_reply(self.local.now(), result) else {
+            return false;
+        };
+        log::write(format_args!("fleet clock: {change}"));
+        change.loses_counts()
     }
 
     /// How long to wait before the next poll.
--- a/gateway/tests/common/counter.rs
+++ b/gateway/tests/common/counter.rs
@@ -34,6 +34,8 @@
 }
 
 struct State {
+    /// When the counter started, if its calls are printed: `COUNTER_LOG` is set.
+    logged_since: Option<Instant>,
     entries: Mutex<HashMap<String, Entry>>,
     call_count: AtomicU32,
     behavior: Mutex<CounterBehavior>,
@@ -55,6 +57,7 @@
     pub(crate) fn serve(listener: TcpListener, behavior: CounterBehavior) -> Self {
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(State {
+            logged_since: std::env::var_os("COUNTER_LOG").map(|_| Instant::now()),
             entries: Mutex::default(),
             call_count: AtomicU32::new(0),
             behavior: Mutex::new(behavior),
@@ -92,13 +95,20 @@
     }
 
     async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+        let client = stream.peer_addr().map_or(0, |address| address.port());
+        let server = stream.local_addr().map_or(0, |address| address.port());
         let mut stream = BufReader::new(stream);
         while let Some(command) = read_command(&mut stream).await {
             if command[0] == "PING" {
                 stream.write_all(b"+PONG\r\n").await.unwrap_or(());
                 continue;
             }
-            if let Some(reply) = self.handle_call(&command).await {
+            let reply = self.handle_call(&command).await;
+            if let Some(since) = self.logged_since {
+                let at = since.elapsed().as_millis();
+                eprintln!("counter {server} at {at} ms, connection {client}: {command:?} {reply:?}");
+            }
+            if let Some(reply) = reply {
                 stream.write_all(reply.as_bytes()).await.unwrap_or(());
             }
         }
--- a/policy/src/engine.rs
+++ b/policy/src/engine.rs
@@ -103,6 +103,7 @@
             Event::Timer { token: MAINTENANCE_TOKEN } => self.on_maintenance(actions),
             Event::Timer { token } => self.on_wait_over(token / 2, actions),
             Event::FleetClock { time } => self.quota.update_fleet_time(time, self.now),
+            Event::CountsLost => self.quota.lose_counts(self.now),
             Event::ProcessResumed => self.quota.resume(self.now),
             Event::DrainStarted => self.quota.start_drain(),
             Event::CounterReply { key, result, latency } => {
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -58,6 +58,9 @@
         /// The fleet's time.
         time: FleetTime,
     },
+    /// The counts that the fleet has kept until now cannot be found any more, as no gateway is left that knows
+    /// under which times they were kept.
+    CountsLost,
     /// The process goes on after a pause of [`MIN_REPORTED_PAUSE`] or more: it was stopped, or got no processor
     /// time. What other gateways did meanwhile is not known.
     ProcessResumed,
--- a/policy/src/fleet_clock.rs
+++ b/policy/src/fleet_clock.rs
@@ -8,18 +8,28 @@
 //! register expires, a few gateways chosen at random read it, so that the number of calls does not grow with
 //! the fleet.
 //!
+//! A gateway that starts and finds the register empty is the first of its fleet only if no gateway has been
+//! present for a minute ([`presence`]). Otherwise it waits for the register to be written again, for a moment
+//! if its own time may be the fleet's, and longer if it surely is not.
+//!
 //! The state machine does no I/O: the host makes the calls that [`FleetClock::poll`] returns, reports how
 //! they ended, and passes [`FleetClock::time`] to its engine with
 //! [`Event::FleetClock`](crate::Event::FleetClock).
 
+mod presence;
+
 use crate::hash::hash;
 use crate::random::Random;
 use crate::{CounterResult, FleetTime, Millis};
+use presence::{PRESENCE_LIFE, Presence, PresenceKey, SlotNumber, slot_at};
+use std::fmt;
 
 /// The fleet's time is kept modulo this, as a total is exact to seven digits only.
 pub const CYCLE: Millis = 4_000_000.0;
 /// How long the register lasts.
 pub const LIFE: Millis = 1000.0;
+/// A key that is only read is not kept.
+const READ_TTL: Millis = 1.0;
 /// The resolution of the time in the register.
 const RESOLUTION: Millis = 10.0;
 /// The register holds a mark: a time in steps of the resolution, times this, plus [`TAG`]. The sum of several
@@ -59,6 +69,19 @@
 /// first read is answered. In a smaller one the answer comes at once and is awaited.
 const SMALL_FLEET: f64 = 16.0;
 
+/// A gateway that starts while the register has expired waits this long for it to be written again: somewhat
+/// longer than the fleet takes.
+const RENEWAL_WAIT: Millis = 250.0;
+/// It waits this long where its own clock is surely not the fleet's.
+const RECOVERY_WAIT: Millis = 2000.0;
+/// In a fleet of more gateways than this, a gateway that writes the register leaves out the presence key at
+/// times: several others write in the same slot.
+const PRESENCE_WRITERS: f64 = 8.0;
+/// The lowest probability with which it is not left out.
+const MIN_PRESENCE_PROBABILITY: f64 = 0.25;
+/// A smaller change of the offset is not reported.
+const MIN_REPORTED_MOVE: Millis = 50.0;
+
 /// A call of the counter that the host is to make.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RegisterCall {
@@ -82,6 +105,81 @@
     Undo {
         mark: f64,
     },
+    /// Reads whether a gateway was present. `other` is what the other key has shown, if it was read.
+    ReadPresence {
+        key: PresenceKey,
+        other: Option<Presence>,
+    },
+    AddPresence {
+        slot: SlotNumber,
+    },
+}
+
+impl Call {
+    /// Returns the call of the counter.
+    fn to_counter(self) -> RegisterCall {
+        let register = |amount| RegisterCall { key: FleetClock::register_key(), amount, ttl: LIFE };
+        match self {
+            Self::Read { .. } => register(0.0),
+            Self::Write { mark } => register(mark),
+            Self::Undo { mark } => register(-mark),
+            Self::ReadPresence { key, .. } => {
+                RegisterCall { key: key.counter_key(), amount: 0.0, ttl: READ_TTL }
+            }
+            Self::AddPresence { slot } => RegisterCall {
+                key: PresenceKey::of_slot(slot).counter_key(),
+                amount: presence::amount(slot),
+                ttl: PRESENCE_LIFE,
+            },
+        }
+    }
+}
+
+/// Something that an operator should know of a gateway's fleet clock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ClockChange {
+    /// No gateway was present: this one's own time is the fleet's.
+    FirstOfFleet,
+    /// Gateways were present within the last minute, but none has written the register. This one's own time
+    /// is the fleet's from now on, and it may have been so before.
+    Resumed,
+    /// The same, but this gateway's own time was not the fleet's before: earlier counts cannot be found.
+    Replaced,
+    /// The offset from this gateway's own clock has changed.
+    Moved {
+        /// By how much the fleet's time at this gateway has jumped.
+        by: Millis,
+    },
+}
+
+impl ClockChange {
+    /// Returns whether the counts of the fleet until now cannot be found any more, so that the host is to pass
+    /// [`Event::CountsLost`](crate::Event::CountsLost) to its engine.
+    pub fn loses_counts(self) -> bool {
+        self == Self::Replaced
+    }
+}
+
+impl fmt::Display for ClockChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::FirstOfFleet => f.write_str("no other gateway was present, using this machine's time"),
+            Self::Resumed => f.write_str("no other gateway keeps the time, using this machine's"),
+            Self::Replaced => f.write_str(
+                "no other gateway keeps the time, and this machine's differs; quotas are taken as spent",
+            ),
+            Self::Moved { by } => write!(f, "moved by {by:.0} ms to agree with the fleet"),
+        }
+    }
+}
+
+/// A fleet whose register has expired, as a gateway that starts sees it.
+#[derive(Clone, Copy, Debug)]
+struct AwaitedFleet {
+    /// This gateway's own time is surely not the fleet's.
+    contradicted: bool,
+    /// When this gateway writes the register itself.
+    until: Millis,
 }
 
 /// The bounds of the offset between the fleet's clock and the gateway's own.
@@ -121,6 +219,14 @@
     /// The number of reads that narrowed the bounds.
     reads: u32,
     consecutive_failures: u32,
+    /// The fleet whose register is awaited.
+    awaited: Option<AwaitedFleet>,
+    /// The last slot in which this gateway added to the presence key.
+    presence_slot: Option<SlotNumber>,
+    /// The offset by the last reported change.
+    reported_offset: Millis,
+    /// What is to be reported with the present reply.
+    change: Option<ClockChange>,
 }
 
 impl FleetClock {
@@ -139,6 +245,10 @@
             due: now,
             reads: 0,
             consecutive_failures: 0,
+            awaited: None,
+            presence_slot: None,
+            reported_offset: 0.0,
+            change: None,
         };
         if gateway_count > SMALL_FLEET {
             clock.due += gateway_count * SPREAD_PER_GATEWAY * clock.draw();
@@ -151,6 +261,12 @@
         hash("the fleet's clock") >> 1
     }
 
+    /// Returns whether calls of a counter key are the fleet clock's.
+    pub fn uses_key(key: u64) -> bool {
+        let presence_keys = [PresenceKey::Even, PresenceKey::Odd].map(PresenceKey::counter_key);
+        key == Self::register_key() || presence_keys.contains(&key)
+    }
+
     /// Returns whether there are other gateways to agree with. A fleet of one makes no calls.
     pub fn is_shared(&self) -> bool {
         self.gateway_count > 1.0
@@ -161,8 +277,10 @@
         if !self.is_shared() {
             return FleetTime::Synchronized { offset: 0.0 };
         }
+        let is_small = self.gateway_count <= SMALL_FLEET;
         match self.bounds {
-            None if self.consecutive_failures == 0 && self.gateway_count <= SMALL_FLEET => FleetTime::Pending,
+            None if self.awaited.is_some_and(|fleet| fleet.contradicted || is_small) => FleetTime::Converging,
+            None if self.consecutive_failures == 0 && is_small => FleetTime::Pending,
             None => FleetTime::Unavailable,
             Some(_) if !self.synchronized => FleetTime::Converging,
             Some(_) => FleetTime::Synchronized { offset: self.offset },
@@ -181,19 +299,22 @@
         }
         let call = self.next_call.take().unwrap_or(Call::Read { made_at: now });
         self.call_in_flight = Some(call);
-        let amount = match call {
-            Call::Read { .. } => 0.0,
-            Call::Write { mark } => mark,
-            Call::Undo { mark } => -mark,
-        };
-        Some(RegisterCall { key: Self::register_key(), amount, ttl: LIFE })
+        Some(call.to_counter())
+    }
+
+    /// Handles the end of the call in flight. Returns what an operator should know.
+    pub fn record_reply(&mut self, now: Millis, result: CounterResult) -> Option<ClockChange> {
+        let call = self.call_in_flight.take()?;
+        if let CounterResult::Total(total) = result {
+            self.consecutive_failures = 0;
+            self.on_total(now, call, total);
+        } else {
+            self.on_failure(now);
+        }
+        self.change.take()
     }
 
-    /// Handles the end of the call in flight.
-    pub fn record_reply(&mut self, now: Millis, result: CounterResult) {
-        let Some(call) = self.call_in_flight.take() else { return };
-        let CounterResult::Total(total) = result else { return self.on_failure(now) };
-        self.consecutive_failures = 0;
+    fn on_total(&mut self, now: Millis, call: Call, total: f64) {
         match call {
             Call::Read { .. } if total.abs() < EMPTY_TOLERANCE => self.on_empty(now),
             Call::Read { made_at } => match time_of_mark(total) {
@@ -201,16 +322,34 @@
                 // Others are writing at this moment.
                 None => self.due = now + FIRST_BACKOFF * (0.5 + self.draw()),
             },
-            Call::Write { mark } if (total - mark).abs() < EMPTY_TOLERANCE => {
-                self.bounds = Some(Bounds { low: self.offset - RESOLUTION, high: self.offset + RESOLUTION });
-                self.synchronized = true;
-                self.due = self.next_read(now);
+            Call::Write { mark } if (total - mark).abs() < EMPTY_TOLERANCE => self.on_written(now),
+            Call::Write { mark } => self.call_at_once(now, Call::Undo { mark }),
+            Call::Undo { .. } => self.due = now,
+            Call::ReadPresence { key, other } => {
+                self.on_presence_read(now, key, other, Presence::from_total(total));
             }
-            Call::Write { mark } => {
-                self.next_call = Some(Call::Undo { mark });
-                self.due = now;
+            Call::AddPresence { slot } => {
+                self.presence_slot = Some(slot);
+                self.due = self.next_read(now);
             }
-            Call::Undo { .. } => self.due = now,
+        }
+    }
+
+    fn call_at_once(&mut self, now: Millis, call: Call) {
+        self.next_call = Some(call);
+        self.due = now;
+    }
+
+    /// Handles the reply to a write that no other gateway has crossed.
+    fn on_written(&mut self, now: Millis) {
+        self.bounds = Some(Bounds { low: self.offset - RESOLUTION, high: self.offset + RESOLUTION });
+        self.synchronized = true;
+        let slot = slot_at(self.fleet_time(now));
+        let probability = (PRESENCE_WRITERS / self.gateway_count).clamp(MIN_PRESENCE_PROBABILITY, 1.0);
+        if self.presence_slot != Some(slot) && self.draw() < probability {
+            self.call_at_once(now, Call::AddPresence { slot });
+        } else {
+            self.due = self.next_read(now);
         }
     }
 
@@ -243,23 +382,69 @@
         };
     }
 
-    /// Handles a read that found the register empty: a gateway that knows the fleet's time writes it anew,
-    /// and if no gateway has written it before, the fleet's time is this gateway's own.
+    /// Handles a read that found the register empty: a gateway that knows the fleet's time writes it anew.
     fn on_empty(&mut self, now: Millis) {
-        match self.bounds {
-            Some(bounds) if !self.synchronized => {
+        match (self.bounds, self.awaited) {
+            (Some(bounds), _) if !self.synchronized => {
                 let low = centered(self.written_at + LIFE - WRITE_DELAY - now);
                 self.narrow(Bounds { low, high: bounds.high.max(low) });
             }
-            Some(_) => {}
-            None => self.synchronized = true,
+            (None, None) if !self.synchronized => {
+                let first = Call::ReadPresence { key: PresenceKey::Even, other: None };
+                return self.call_at_once(now, first);
+            }
+            (None, Some(fleet)) if now >= fleet.until => {
+                self.use_own_time(if fleet.contradicted {
+                    ClockChange::Replaced
+                } else {
+                    ClockChange::Resumed
+                });
+            }
+            _ => {}
         }
         if self.synchronized {
-            self.next_call = Some(Call::Write { mark: self.mark(now) });
-            self.due = now;
+            self.write(now);
         } else {
-            self.due = now + CONVERGING_INTERVAL;
+            self.due = now + self.reread_interval();
+        }
+    }
+
+    fn write(&mut self, now: Millis) {
+        let mark = self.mark(now);
+        self.call_at_once(now, Call::Write { mark });
+    }
+
+    /// Handles the read of one of the presence keys: once both are read it is known whether this gateway is
+    /// the first of its fleet.
+    fn on_presence_read(&mut self, now: Millis, key: PresenceKey, other: Option<Presence>, shown: Presence) {
+        let Some(other) = other else {
+            debug_assert_eq!(key, PresenceKey::Even);
+            let second = Call::ReadPresence { key: PresenceKey::Odd, other: Some(shown) };
+            return self.call_at_once(now, second);
+        };
+        let presence = shown.or(other);
+        if presence == Presence::Absent {
+            self.use_own_time(ClockChange::FirstOfFleet);
+            return self.write(now);
         }
+        let contradicted = presence.contradicts(self.fleet_time(now));
+        let wait = if contradicted { RECOVERY_WAIT } else { RENEWAL_WAIT };
+        self.awaited = Some(AwaitedFleet { contradicted, until: now + wait });
+        self.due = now + self.reread_interval();
+    }
+
+    fn use_own_time(&mut self, change: ClockChange) {
+        self.awaited = None;
+        self.synchronized = true;
+        self.change = Some(change);
+    }
+
+    /// Returns how soon a gateway that starts reads the register again. In a large fleet many may start.
+    fn reread_interval(&mut self) -> Millis {
+        if self.gateway_count <= SMALL_FLEET {
+            return CONVERGING_INTERVAL;
+        }
+        CONVERGING_INTERVAL.max(self.gateway_count * SPREAD_PER_GATEWAY * self.draw())
     }
 
     /// Narrows the bounds of the true offset by new ones. Where these contradict the old ones the register is
@@ -267,11 +452,17 @@
     fn narrow(&mut self, new: Bounds) {
         let Bounds { low, high } = self.bounds.and_then(|known| known.intersection(new)).unwrap_or(new);
         self.reads += 1;
+        self.awaited = None;
         let own_time_fits = self.bounds.is_none() && (low..=high - WRITE_DELAY).contains(&self.offset);
         let narrow = high - low <= NARROW_BOUNDS;
         self.synchronized |= own_time_fits || narrow || self.reads >= MAX_CONVERGING_READS;
         self.bounds = Some(Bounds { low, high });
         self.offset = if self.synchronized { self.offset.clamp(low, high) } else { f64::midpoint(low, high) };
+        let by = self.offset - self.reported_offset;
+        if self.synchronized && by.abs() >= MIN_REPORTED_MOVE {
+            self.reported_offset = self.offset;
+            self.change = Some(ClockChange::Moved { by });
+        }
     }
 
     /// Returns when to read again after the register was found fresh: as it expires, but only in so many of
--- a/policy/src/quota/gate.rs
+++ b/policy/src/quota/gate.rs
@@ -5,6 +5,7 @@
 use super::fallback::FallbackStart;
 use super::lease::{BLOCK_FRACTION, IncrementReply};
 use super::low_quota::{LowQuotaReply, LowQuotaTenants};
+use super::share::refill_period;
 use super::tenant::{Tenant, TenantArrival};
 use super::window::{Now, WindowClock};
 use super::{
@@ -45,11 +46,16 @@
     /// Notes a request that arrived.
     pub(crate) fn record_arrival(&mut self, request: &QuotaRequest, arrival: &TenantArrival, now: Millis) {
         let plan = &self.plans[request.plan];
+        let is_new = !self.tenants.contains_key(&request.tenant);
         let tenant = self
             .tenants
             .entry(request.tenant.clone())
             .or_insert_with(|| Tenant::new(&request.tenant, request.plan, ceiling::initial_quota(plan), now));
         tenant.record_arrival(arrival, request.units, plan, now);
+        let since_counts_lost = self.clock.time_since_counts_lost(now);
+        if is_new && let Some(time) = since_counts_lost.filter(|time| *time < refill_period(plan)) {
+            tenant.assume_spent(time, plan);
+        }
     }
 
     /// Notes what the host knows of the fleet's clock by now.
@@ -57,6 +63,14 @@
         self.clock.update(time, now);
     }
 
+    /// Notes that earlier counts cannot be found: whatever is not known of a quota is taken as spent.
+    pub(crate) fn lose_counts(&mut self, now: Millis) {
+        self.clock.lose_counts(now);
+        for tenant in self.tenants.values_mut() {
+            tenant.assume_spent(0.0, &self.plans[tenant.plan()]);
+        }
+    }
+
     /// Notes that the process goes on after a pause. Readings of windows that ended meanwhile say nothing of
     /// what other gateways spent since, as for a gateway that joins a running fleet.
     pub(crate) fn resume(&mut self, now: Millis) {
--- a/policy/src/quota/lease.rs
+++ b/policy/src/quota/lease.rs
@@ -10,7 +10,7 @@
 use super::fallback::FallbackAllowance;
 use super::share::QuotaShare;
 use super::window::{Now, WindowNumber};
-use crate::Millis;
+use crate::{Millis, QuotaPlan};
 
 /// A block holds the demand of this fraction of a refill period. A block that is unused for as long is
 /// returned, so that other gateways can use it.
@@ -138,6 +138,12 @@
         !std::mem::replace(&mut self.has_reading, true)
     }
 
+    /// Takes the remaining quota for known.
+    pub(super) fn assume_reading(&mut self, remaining: f64, plan: &QuotaPlan) {
+        self.remaining = remaining.min(ceiling::initial_quota(plan));
+        self.has_reading = true;
+    }
+
     /// Discards what the readings so far say of the remaining quota.
     pub(super) fn forget_reading(&mut self) {
         self.has_reading = false;
--- a/policy/src/quota/tenant.rs
+++ b/policy/src/quota/tenant.rs
@@ -97,6 +97,13 @@
         self.demand.record(units, refill_period(plan), now);
     }
 
+    /// Takes the quota as spent some time ago, and as refilling since.
+    pub(crate) fn assume_spent(&mut self, time: Millis, plan: &QuotaPlan) {
+        if !self.share_of(plan).is_low_quota() {
+            self.lease.assume_reading(plan.rate * time / 1000.0, plan);
+        }
+    }
+
     /// Returns the tenant's quota by the plan of its first request.
     pub(crate) fn share<'a>(&self, plans: &'a [QuotaPlan]) -> QuotaShare<'a> {
         self.share_of(&plans[self.plan])
--- a/policy/src/quota/window.rs
+++ b/policy/src/quota/window.rs
@@ -25,11 +25,13 @@
     fleet_time: FleetTime,
     /// When this gateway synchronized with a fleet that may have been counting before.
     joined_at: Millis,
+    /// When the counts of the time before could not be found any more.
+    counts_lost_at: Option<Millis>,
 }
 
 impl WindowClock {
     pub(crate) fn new() -> Self {
-        Self { fleet_time: FleetTime::default(), joined_at: f64::NEG_INFINITY }
+        Self { fleet_time: FleetTime::default(), joined_at: f64::NEG_INFINITY, counts_lost_at: None }
     }
 
     /// Notes what the host knows of the fleet's clock by now.
@@ -46,6 +48,16 @@
         self.joined_at = local;
     }
 
+    /// Notes that what the fleet counted until now cannot be found any more.
+    pub(crate) fn lose_counts(&mut self, local: Millis) {
+        self.counts_lost_at = Some(local);
+    }
+
+    /// Returns for how long counts have been kept, if earlier ones were lost.
+    pub(crate) fn time_since_counts_lost(&self, local: Millis) -> Option<Millis> {
+        self.counts_lost_at.map(|lost_at| local - lost_at)
+    }
+
     pub(crate) fn now(&self, local: Millis) -> Now {
         let offset = if let FleetTime::Synchronized { offset } = self.fleet_time { offset } else { 0.0 };
         Now { local, fleet: (local + offset).rem_euclid(CYCLE) }
--- a/policy/tests/fleet_clock.rs
+++ b/policy/tests/fleet_clock.rs
@@ -5,6 +5,7 @@
 use common::*;
 use ryefront_policy::fleet_clock::{CYCLE, FleetClock, LIFE};
 use ryefront_policy::*;
+use std::collections::HashMap;
 
 const HOUR: Millis = 3_600_000.0;
 /// The start of virtual time; each gateway's wall clock is ahead by its skew.
@@ -21,9 +22,9 @@
     skew: Millis,
 }
 
-/// The counter's key that holds the fleet's time.
-struct Register {
-    total: f64,
+/// A key of the counter.
+struct Total {
+    value: f64,
     expires_at: Millis,
 }
 
@@ -39,7 +40,7 @@
     gateways: Vec<Gateway>,
     schedule: Schedule<Step>,
     random: Random,
-    register: Register,
+    totals: HashMap<u64, Total>,
     /// Whether the counter replies.
     counter_available: bool,
     calls: usize,
@@ -51,7 +52,7 @@
             gateways: Vec::new(),
             schedule: Schedule::new(),
             random: Random(u64::from(gateways)),
-            register: Register { total: 0.0, expires_at: 0.0 },
+            totals: HashMap::new(),
             counter_available: true,
             calls: 0,
         };
@@ -89,15 +90,13 @@
         let Some(call) = gateway.clock.poll(BEGIN + now + gateway.skew) else { return };
         self.calls += 1;
         let reached = now + 1.0 + self.random.unit();
-        if self.register.expires_at <= reached {
-            self.register = Register { total: 0.0, expires_at: reached + call.ttl };
+        let total = self.totals.entry(call.key).or_insert(Total { value: 0.0, expires_at: 0.0 });
+        if total.expires_at <= reached {
+            *total = Total { value: 0.0, expires_at: reached + call.ttl };
         }
-        self.register.total += call.amount;
-        let outcome = if self.counter_available {
-            CounterResult::Total(self.register.total)
-        } else {
-            CounterResult::Unknown
-        };
+        total.value += call.amount;
+        let outcome =
+            if self.counter_available { CounterResult::Total(total.value) } else { CounterResult::Unknown };
         self.schedule.at(reached + 1.0, Step::Reply(number, outcome));
     }
 
--- a/policy/tests/gateway_start/main.rs
+++ b/policy/tests/gateway_start/main.rs
@@ -56,6 +56,34 @@
     moments(quota).map(fraction).collect()
 }
 
+/// What is served when a gateway starts while the other is stopped for a moment, and the register of the fleet's
+/// clock has expired, by moment.
+fn fractions_at_start_without_register(quota: Quota, skew: Millis) -> Vec<f64> {
+    let fraction = |moment| {
+        let skews = [moment, moment + skew];
+        let mut simulation = Simulation::new(2, quota, |index| skews[index]);
+        simulation.start(0, 0.0);
+        simulation.stop(0, ALONE - 200.0, 600.0);
+        simulation.expire_register(ALONE - 1.0);
+        simulation.start(1, ALONE);
+        simulation.play(RUN_TIME)
+    };
+    moments(quota).map(fraction).collect()
+}
+
+/// What is served when the only gateway of two that runs is stopped for good, and the other then starts, by moment.
+fn fractions_at_start_after_the_last_gateway(quota: Quota, skew: Millis) -> Vec<f64> {
+    let fraction = |moment| {
+        let skews = [moment, moment + skew];
+        let mut simulation = Simulation::new(2, quota, |index| skews[index]);
+        simulation.start(0, 0.0);
+        simulation.stop(0, ALONE - 1200.0, f64::INFINITY);
+        simulation.start(1, ALONE);
+        simulation.play(RUN_TIME)
+    };
+    moments(quota).map(fraction).collect()
+}
+
 /// Plays a start beside running gateways for all quotas and skews.
 fn assert_quota_holds_at_start(gateway_count: u32) {
     let mut violations = Vec::new();
@@ -95,6 +123,33 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+// A gateway that found the register of the fleet's clock empty took itself for the first of its fleet.
+#[test]
+fn quota_holds_when_a_gateway_starts_while_the_register_is_empty() {
+    let mut violations = Vec::new();
+    for quota in QUOTAS {
+        for skew in [0.0, -HOUR, HOUR] {
+            let case = format!("{quota:?}, no register, skew {skew} ms");
+            violations.extend(out_of_bounds(&case, &fractions_at_start_without_register(quota, skew)));
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+// A gateway whose clock was stepped while no other kept the fleet's time served a whole quota twice.
+#[test]
+fn quota_holds_when_a_gateway_with_another_clock_starts_after_the_last_one() {
+    for quota in QUOTAS {
+        for skew in [0.0, -HOUR, HOUR] {
+            let fractions = fractions_at_start_after_the_last_gateway(quota, skew);
+
+            println!("{quota:?}, after the last gateway, skew {skew} ms: {fractions:.2?}");
+            // No gateway serves for 1.2 s, and a part of the quota while the register is awaited.
+            assert!(fractions.iter().all(|fraction| (0.6..=1.05).contains(fraction)), "{fractions:.2?}");
+        }
+    }
+}
+
 #[test]
 fn admission_is_not_held_back_when_a_whole_fleet_starts() {
     for gateway_count in [2, 8, 30] {
--- a/policy/tests/gateway_start/simulation.rs
+++ b/policy/tests/gateway_start/simulation.rs
@@ -2,7 +2,7 @@
 //! whose clients request far more than its quota, and the shared counter.
 
 use crate::common::*;
-use ryefront_policy::fleet_clock::FleetClock;
+use ryefront_policy::fleet_clock::{ClockChange, FleetClock};
 use ryefront_policy::*;
 use std::collections::HashMap;
 
@@ -38,6 +38,7 @@
 }
 
 enum Step {
+    ExpireRegister,
     Start(usize),
     Event(usize, Event),
     PollClock(usize),
@@ -117,6 +118,11 @@
         self.stops.push(Stop { gateway, from, until: from + time });
     }
 
+    /// Expires the register of the fleet's clock at a time.
+    pub(crate) fn expire_register(&mut self, at: Millis) {
+        self.schedule.at(at, Step::ExpireRegister);
+    }
+
     /// Plays until a time, and returns what was served since the beginning as a fraction of the quota.
     pub(crate) fn play(&mut self, until: Millis) -> f64 {
         while let Some((now, step)) = self.schedule.next() {
@@ -131,6 +137,10 @@
 
     fn take_step(&mut self, now: Millis, step: Step) {
         let number = match &step {
+            Step::ExpireRegister => {
+                self.totals.remove(&FleetClock::register_key());
+                return;
+            }
             Step::Start(number)
             | Step::Event(number, _)
             | Step::PollClock(number)
@@ -142,6 +152,7 @@
             return self.schedule.at(stop.until, step);
         }
         match step {
+            Step::ExpireRegister => {}
             Step::Start(_) => self.on_start(number, now),
             Step::Event(_, event) => self.handle(number, event, now),
             Step::PollClock(_) => {
@@ -150,9 +161,12 @@
             }
             Step::ClockReply(_, result) => {
                 let gateway = &mut self.gateways[number];
-                gateway.clock.record_reply(gateway.local(now), result);
+                let change = gateway.clock.record_reply(gateway.local(now), result);
                 let time = gateway.clock.time();
                 self.handle(number, Event::FleetClock { time }, now);
+                if change.is_some_and(ClockChange::loses_counts) {
+                    self.handle(number, Event::CountsLost, now);
+                }
                 self.poll_clock(number, now);
             }
             Step::Request { client, .. } => self.on_request(number, client, now),
