Do not keep a time that another gateway's first write has overtaken

Change: a first write that crossed another leaves the gateway unsynchronized. A mark is younger than a read that found the register empty, so after a crossing the offset is known to some 60 ms. A mark that would be nearly a second old by the gateway's own clock does not confirm that clock, as it may be new and the clock a second ahead.

--- a/policy/src/fleet_clock.rs
+++ b/policy/src/fleet_clock.rs
@@ -211,6 +211,8 @@
     synchronized: bool,
     /// The time that the register held last.
     written_at: Millis,
+    /// When the last read was made that found the register empty.
+    empty_at: Millis,
     call_in_flight: Option<Call>,
     /// The call to make once the present one has ended.
     next_call: Option<Call>,
@@ -240,6 +242,7 @@
             bounds: None,
             synchronized: false,
             written_at: 0.0,
+            empty_at: f64::NEG_INFINITY,
             call_in_flight: None,
             next_call: None,
             due: now,
@@ -316,14 +319,21 @@
 
     fn on_total(&mut self, now: Millis, call: Call, total: f64) {
         match call {
-            Call::Read { .. } if total.abs() < EMPTY_TOLERANCE => self.on_empty(now),
+            Call::Read { made_at } if total.abs() < EMPTY_TOLERANCE => {
+                self.empty_at = made_at;
+                self.on_empty(now);
+            }
             Call::Read { made_at } => match time_of_mark(total) {
                 Some(written_at) => self.on_read(made_at, now, written_at),
                 // Others are writing at this moment.
                 None => self.due = now + FIRST_BACKOFF * (0.5 + self.draw()),
             },
             Call::Write { mark } if (total - mark).abs() < EMPTY_TOLERANCE => self.on_written(now),
-            Call::Write { mark } => self.call_at_once(now, Call::Undo { mark }),
+            Call::Write { mark } => {
+                // Another gateway was first: a time that is only this one's own is not the fleet's.
+                self.synchronized &= self.bounds.is_some();
+                self.call_at_once(now, Call::Undo { mark });
+            }
             Call::Undo { .. } => self.due = now,
             Call::ReadPresence { key, other } => {
                 self.on_presence_read(now, key, other, Presence::from_total(total));
@@ -369,7 +379,9 @@
     fn on_read(&mut self, made_at: Millis, now: Millis, written_at: Millis) {
         self.written_at = written_at;
         let low = centered(written_at - now);
-        let high = low + (now - made_at) + LIFE + RESOLUTION + WRITE_DELAY;
+        // What was written is younger than its key's life, and than a read that found the register empty.
+        let max_age = (now - made_at + LIFE).min(now - self.empty_at);
+        let high = low + max_age + RESOLUTION + WRITE_DELAY;
         self.narrow(Bounds { low, high });
         let age = centered(self.fleet_time(now) - written_at);
         self.due = if !self.synchronized {
@@ -453,11 +465,16 @@
         let Bounds { low, high } = self.bounds.and_then(|known| known.intersection(new)).unwrap_or(new);
         self.reads += 1;
         self.awaited = None;
-        let own_time_fits = self.bounds.is_none() && (low..=high - WRITE_DELAY).contains(&self.offset);
+        let was_synchronized = self.synchronized;
+        let is_first = self.bounds.is_none();
+        // A mark that would be nearly as old as its key's life by this gateway's own time is rather one that has
+        // just been written, while this clock is ahead.
+        let own_time_fits = is_first && (low..=(low + LIFE).min(high) - WRITE_DELAY).contains(&self.offset);
         let narrow = high - low <= NARROW_BOUNDS;
         self.synchronized |= own_time_fits || narrow || self.reads >= MAX_CONVERGING_READS;
         self.bounds = Some(Bounds { low, high });
-        self.offset = if self.synchronized { self.offset.clamp(low, high) } else { f64::midpoint(low, high) };
+        let keeps_offset = was_synchronized || (low..=high).contains(&self.offset);
+        self.offset = if keeps_offset { self.offset.clamp(low, high) } else { f64::midpoint(low, high) };
         let by = self.offset - self.reported_offset;
         if self.synchronized && by.abs() >= MIN_REPORTED_MOVE {
             self.reported_offset = self.offset;
--- a/policy/tests/gateway_start/main.rs
+++ b/policy/tests/gateway_start/main.rs
@@ -84,6 +84,32 @@
     moments(quota).map(fraction).collect()
 }
 
+/// What is served when two gateways start shortly after each other, by moment.
+fn fractions_at_common_start(quota: Quota, skew: Millis, between: Millis) -> Vec<f64> {
+    let fraction = |moment| {
+        let skews = [moment, moment + skew];
+        let mut simulation = Simulation::new(2, quota, |index| skews[index]);
+        simulation.start(0, 0.0);
+        simulation.start(1, between);
+        simulation.play(RUN_TIME)
+    };
+    moments(quota).map(fraction).collect()
+}
+
+/// Plays common starts for all quotas.
+fn assert_quota_holds_at_common_start(skews: &[Millis], between_starts: &[Millis]) {
+    let mut violations = Vec::new();
+    for quota in QUOTAS {
+        for &between in between_starts {
+            for &skew in skews {
+                let case = format!("{quota:?}, {between} ms between the starts, skew {skew} ms");
+                violations.extend(out_of_bounds(&case, &fractions_at_common_start(quota, skew, between)));
+            }
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Plays a start beside running gateways for all quotas and skews.
 fn assert_quota_holds_at_start(gateway_count: u32) {
     let mut violations = Vec::new();
@@ -108,6 +134,20 @@
     assert_quota_holds_at_start(8);
 }
 
+// A gateway whose first write of the register crossed another's kept a time that was up to a second off.
+#[test]
+fn quota_holds_when_two_gateways_whose_clocks_differ_start_together() {
+    let skews = [0.0, -HOUR, HOUR, 1000.0, -1000.0, -3000.0];
+
+    assert_quota_holds_at_common_start(&skews, &[0.0, 0.3, 0.9, 5.0, 300.0]);
+}
+
+// A difference of less than a second is not noticed when the register has been written a moment before.
+#[test]
+fn quota_holds_when_two_gateways_whose_clocks_differ_by_less_than_a_second_start_together() {
+    assert_quota_holds_at_common_start(&[300.0], &[0.0, 0.3, 0.9, 20.0, 300.0]);
+}
+
 // A gateway that went on after a pause counted the time as refill of its own.
 #[test]
 fn quota_holds_when_a_gateway_goes_on_after_a_pause() {
