Count a gateway's join from its start, not from its first read of the fleet's clock

What callers saw: in a fleet of more than 16 gateways a starting one admitted a spent quota once more, as it counts by its own clock for up to 10 ms for each gateway of the fleet until its first read, and read the window before only after that. Where the first read came late in a running fleet, tenants that were known by then were read needlessly instead.

Change: WindowClock notes the join when the host first reports that it is not synchronized, which is at its start, and again when it moves to the windows of a fleet with another clock.

--- a/policy/src/quota/window.rs
+++ b/policy/src/quota/window.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct WindowClock {
     fleet_time: FleetTime,
-    /// When this gateway synchronized with a fleet that may have been counting before.
+    /// When this gateway started, or moved to a fleet's windows: what was counted before is not known to it.
     joined_at: Millis,
     /// When the counts of the time before could not be found any more.
     counts_lost_at: Option<Millis>,
@@ -36,9 +36,10 @@
 
     /// Notes what the host knows of the fleet's clock by now.
     pub(crate) fn update(&mut self, fleet_time: FleetTime, local: Millis) {
-        let was_synchronized = self.fleet_time.is_synchronized();
-        self.fleet_time = fleet_time;
-        if fleet_time.is_synchronized() && !was_synchronized {
+        let before = std::mem::replace(&mut self.fleet_time, fleet_time);
+        let starts = before == FleetTime::default() && !fleet_time.is_synchronized();
+        let windows_change = before == FleetTime::Converging && fleet_time != before;
+        if starts || windows_change {
             self.rejoin(local);
         }
     }
@@ -73,7 +74,7 @@
         self.fleet_time == FleetTime::Pending
     }
 
-    /// Returns whether this gateway synchronized with its fleet less than `period` ago.
+    /// Returns whether this gateway joined its fleet less than `period` ago.
     pub(crate) fn joined_within(&self, local: Millis, period: Millis) -> bool {
         local - self.joined_at < period
     }
--- a/policy/tests/gateway_start/main.rs
+++ b/policy/tests/gateway_start/main.rs
@@ -148,6 +148,17 @@
     assert_quota_holds_at_common_start(&[300.0], &[0.0, 0.3, 0.9, 20.0, 300.0]);
 }
 
+// A gateway of a large fleet did not read the window before until its first read of the register.
+#[test]
+fn quota_holds_when_a_gateway_starts_beside_a_running_large_fleet() {
+    let quota = Quota { rate: 20.0, burst: 60.0 };
+
+    let fractions = fractions_at_start(30, quota, 0.0);
+
+    let violations = out_of_bounds("30 gateways, skew 0 ms", &fractions);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 // A gateway that went on after a pause counted the time as refill of its own.
 #[test]
 fn quota_holds_when_a_gateway_goes_on_after_a_pause() {
