Wait for the first counter call in two tests, whichever connection it is on

Since a starting gateway reads the window before beside its first lease, a stand-in that holds replies sees one call or two, by whether both keys fall to one connection, which depends on the time. What they assert is unchanged: the move of a counter still counts two calls at its end.

--- a/gateway/tests/reconfiguration.rs
+++ b/gateway/tests/reconfiguration.rs
@@ -125,7 +125,8 @@
     let mut env = TestEnvironment::start(&options, CounterBehavior::AddAndHoldReply).await;
     let mut early = env.gateway.client().await;
     early.write(&non_idempotent_request(LONG_DEADLINE_MS)).await;
-    wait_until("the calls", || env.counter.call_count() == FIRST_CALLS).await;
+    // On one connection the second call is read after the first has its reply.
+    wait_until("a call", || env.counter.call_count() >= 1).await;
 
     let counter = TestCounter::start(CounterBehavior::Add).await;
     env.gateway.reconfigure(&[ConfigEdit::new(env.counter.address, counter.address)]).await;
--- a/gateway/tests/shutdown_sequence.rs
+++ b/gateway/tests/shutdown_sequence.rs
@@ -229,7 +229,8 @@
     let mut env = TestEnvironment::start(&options, CounterBehavior::AddAndHoldReply).await;
     let mut client = env.gateway.client().await;
     client.write(&non_idempotent_request(LONGEST_DEADLINE_MS)).await;
-    wait_until("the counter call", || env.counter.call_count() == 1).await;
+    // The window before is read beside it, by the same connection or by the other.
+    wait_until("the counter call", || env.counter.call_count() >= 1).await;
     env.gateway.send_sigterm();
     within_timeout("the listener's end", async {
         while TcpStream::connect(env.gateway.address).await.is_ok() {
