Read what has arrived before a timeout takes effect

What callers saw: a gateway that was stopped for 3 s reset its idle client connections when it went on, each with a request unread. In the same way a complete response was taken for truncated, the block of a counter call was lost although its reply was there, and an endpoint list was dropped.

Cause: the signal that continues a process ends the event loop's wait with EINTR and no readiness, and timers are handled after it. Reads are not tried on sockets that are not known to be ready.

Change: at a timeout the kernel is asked whether bytes are unread; if so, the event loop gets up to 20 ms to report them, and the timeout is checked again. Used for requests of clients, also before a close at shutdown and eviction, for the rest of a response, polls to discovery and counter calls. A request that is still incomplete is closed as before.

--- a/gateway/src/client/connection.rs
+++ b/gateway/src/client/connection.rs
@@ -78,6 +78,9 @@
     if state.is_unused() && timeout_at(first_request_due, http.as_mut()).await.is_ok() {
         return;
     }
+    if !read_what_arrived(http.as_mut(), state).await {
+        return;
+    }
     http.as_mut().graceful_shutdown();
     tokio::select! {
         biased;
@@ -88,6 +91,9 @@
 
 /// Closes an evicted connection, after the response if a request has arrived on it meanwhile.
 async fn close_evicted(mut http: Pin<&mut impl HttpConnection>, state: &ConnectionState) {
+    if !read_what_arrived(http.as_mut(), state).await {
+        return;
+    }
     http.as_mut().graceful_shutdown();
     let closed = timeout(EVICTION_GRACE, http.as_mut()).await.is_ok();
     if !closed && !state.is_idle() {
@@ -95,6 +101,16 @@
     }
 }
 
+/// Reads what has arrived on a connection that is to be closed, as a request in it would be reset. Returns
+/// whether the connection is still open.
+async fn read_what_arrived(http: Pin<&mut impl HttpConnection>, state: &ConnectionState) -> bool {
+    tokio::select! {
+        biased;
+        _ = http => false,
+        () = state.socket().read_before_timeout() => true,
+    }
+}
+
 /// The HTTP library's connection, whatever its service: a future that resolves when the connection has ended.
 trait HttpConnection: Future {
     /// Closes the connection after the response in progress, or at once if there is none.
--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -65,8 +65,18 @@
         !self.has_responded() && self.is_idle() && self.head.borrow().is_empty()
     }
 
-    /// Resolves once the time for a complete request is over.
+    /// Resolves once the time for a complete request is over, and what had arrived by then has been read.
     pub(super) async fn request_timed_out(&self) {
+        loop {
+            self.request_deadline_passed().await;
+            self.socket.read_before_timeout().await;
+            if Instant::now() >= self.request_deadline() {
+                return;
+            }
+        }
+    }
+
+    async fn request_deadline_passed(&self) {
         while Instant::now() < self.request_deadline() {
             sleep_until(self.request_deadline()).await;
         }
--- a/gateway/src/counter/session.rs
+++ b/gateway/src/counter/session.rs
@@ -2,7 +2,7 @@
 
 use crate::counter::call_queue::CallQueue;
 use crate::counter::resp::{Reply, ReplyBuffer, ReplyError};
-use crate::socket::is_transient;
+use crate::socket::{is_transient, read_before_timeout};
 use redis_protocol::resp2::types::OwnedFrame;
 use ryefront_policy::CounterResult;
 use std::io;
@@ -66,6 +66,9 @@
     pub(super) async fn run(&mut self) -> Result<(), SessionError> {
         while !self.calls.has_drained() {
             self.wait_for_work().await?;
+            if Instant::now() >= self.next_deadline() {
+                read_before_timeout(self.stream).await;
+            }
             self.calls.write_to(self.stream)?;
             // Before the timeouts: a reply that has arrived is in time.
             self.read_replies()?;
--- a/gateway/src/discovery/watch.rs
+++ b/gateway/src/discovery/watch.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// The consumer of endpoint lists.
 pub trait EndpointListSink {
@@ -199,14 +199,22 @@
         response_timeout: completion_timeout,
         write_deadline: None,
     };
-    let exchange = connection.exchange(request, limits);
-    let response = match timeout(backoff.poll_timeout(wait), exchange).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(ExchangeError::InvalidResponse)) if started_at.elapsed() >= completion_timeout => {
+    let socket = connection.socket();
+    let no_response = async {
+        sleep(backoff.poll_timeout(wait)).await;
+        socket.read_before_timeout().await;
+    };
+    let exchanged = tokio::select! {
+        biased;
+        exchanged = connection.exchange(request, limits) => exchanged,
+        () = no_response => return Err(WatchError::NoResponse),
+    };
+    let response = match exchanged {
+        Ok(response) => response,
+        Err(ExchangeError::InvalidResponse) if started_at.elapsed() >= completion_timeout => {
             return Err(WatchError::Incomplete);
         }
-        Ok(Err(_)) => return Err(WatchError::ConnectionBroken),
-        Err(_) => return Err(WatchError::NoResponse),
+        Err(_) => return Err(WatchError::ConnectionBroken),
     };
     if response.status() != StatusCode::OK {
         return Err(WatchError::UnexpectedStatus(response.status()));
--- a/gateway/src/endpoint/attempt.rs
+++ b/gateway/src/endpoint/attempt.rs
@@ -17,6 +17,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use tokio::sync::oneshot;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
 /// Headers of a response that belong to the connection to the endpoint, and are not forwarded to the client.
@@ -106,13 +107,19 @@
                 Err(outcome) => outcome.into(),
             },
             () = self.cancellation.requested() => Outcome::Cancelled.into(),
-            () = sleep_until(self.limits.deadline) => Outcome::TimedOut.into(),
+            () = self.deadline_passed() => Outcome::TimedOut.into(),
         };
         if result.outcome == Outcome::TimedOut {
             endpoints.record_timeout(self.endpoint, began);
         }
         result
     }
+
+    /// Resolves at the deadline, after an iteration of the event loop that reports what had arrived by then.
+    async fn deadline_passed(&self) {
+        sleep_until(self.limits.deadline).await;
+        yield_now().await;
+    }
 }
 
 impl EndpointRequest for Attempt<'_> {
--- a/gateway/src/http_connection/connection.rs
+++ b/gateway/src/http_connection/connection.rs
@@ -60,6 +60,11 @@
         self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// The socket, for its owner to inspect while an exchange is in progress.
+    pub fn socket(&self) -> SharedStream {
+        self.socket.clone()
+    }
+
     /// Sends a request and returns the complete response.
     ///
     /// # Errors
@@ -78,7 +83,7 @@
         let response = tokio::select! {
             biased;
             response = response => response,
-            () = state.response_overdue(limits.response_timeout) => None,
+            () = response_overdue(state, &self.socket, limits.response_timeout) => None,
             () = state.write_overdue(limits.write_deadline) => None,
         };
         response.ok_or_else(|| state.error())
@@ -96,6 +101,13 @@
     }
 }
 
+/// Resolves once a response is overdue although what had arrived of it has been read.
+async fn response_overdue(state: &ExchangeState, socket: &SharedStream, timeout: Duration) {
+    state.response_overdue(timeout).await;
+    socket.read_before_timeout().await;
+    state.response_overdue(timeout).await;
+}
+
 /// The HTTP library's side of the connection; `None` once the connection has ended.
 type Driver = Option<Pin<Box<http1::Connection<TokioIo<InstrumentedStream<ExchangeState>>, Full<Bytes>>>>>;
 
--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -11,11 +11,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The delay before a connection attempt that failed for a local reason is retried.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(5);
 
+/// How long bytes that arrived before a timeout may take to be read.
+const UNREAD_GRACE: Duration = Duration::from_millis(20);
+
 /// Local failures that are not transient: descriptors, local ports or a route are missing.
 const LOCAL_ERRNOS: [i32; 8] = [
     libc::EMFILE,
@@ -131,15 +134,37 @@
     /// # Errors
     /// `WouldBlock` while nothing has arrived, others when the connection has broken.
     pub fn peek(&self) -> io::Result<usize> {
-        loop {
-            match socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]) {
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                peeked => return peeked,
-            }
+        peek(&self.stream)
+    }
+
+    /// Lets other tasks read what has arrived on the socket and was not read yet: see [`read_before_timeout`].
+    pub async fn read_before_timeout(&self) {
+        read_before_timeout(&self.stream).await;
+    }
+}
+
+/// Queries the kernel for the next byte of a stream, as [`SharedStream::peek`] does.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    loop {
+        match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            peeked => return peeked,
         }
     }
 }
 
+/// To be called when a timeout ends a wait for bytes, before it takes effect: resolves at once if nothing has
+/// arrived, else after a moment in which the event loop reports the bytes.
+///
+/// A wait of the event loop that a signal interrupts reports no readiness, but timers are handled after it.
+/// After a pause of the process all of them are due, however long the bytes have been there.
+pub(crate) async fn read_before_timeout(stream: &TcpStream) {
+    if matches!(peek(stream), Ok(1..)) {
+        let _ = timeout(UNREAD_GRACE, stream.readable()).await;
+        yield_now().await;
+    }
+}
+
 /// Reschedules the task, so that the call is made again after other tasks have run.
 fn retry_later<T>(cx: &Context<'_>) -> Poll<T> {
     cx.waker().wake_by_ref();
