--- a/gateway/tests/common/gateway.rs
+++ b/gateway/tests/common/gateway.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
@@ -143,6 +143,8 @@
     config_text: String,
     log: Arc<Mutex<Vec<String>>>,
     log_reader: tokio::task::JoinHandle<()>,
+    /// Whether the log is no longer read, though its reading end is open.
+    log_unread: Arc<AtomicBool>,
 }
 
 impl GatewayProcess {
@@ -160,12 +162,17 @@
         let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
         let log: Arc<Mutex<Vec<String>>> = Arc::default();
         let recorded = log.clone();
+        let log_unread = Arc::<AtomicBool>::default();
+        let unread = log_unread.clone();
         let log_reader = tokio::spawn(async move {
             while let Ok(Some(line)) = lines.next_line().await {
                 recorded.lock().expect("lock").push(line);
+                if unread.load(SeqCst) {
+                    std::future::pending().await
+                }
             }
         });
-        Self { address, child, config_file, config_text, log, log_reader }
+        Self { address, child, config_file, config_text, log, log_reader, log_unread }
     }
 
     /// A client with a new connection.
@@ -188,6 +195,11 @@
         self.log.lock().expect("lock").iter().filter(|line| line.starts_with(prefix)).cloned().collect()
     }
 
+    /// Stops reading the log, after the next line, without closing its reading end.
+    pub(crate) fn stop_reading_log(&self) {
+        self.log_unread.store(true, SeqCst);
+    }
+
     /// Closes the reading end of the log, so that the gateway's writes to it fail from now on.
     pub(crate) async fn close_log(&mut self) {
         self.log_reader.abort();
--- a/gateway/tests/process.rs
+++ b/gateway/tests/process.rs
@@ -5,7 +5,7 @@
 use common::{
     CounterBehavior, GatewayOptions, GatewayProcess, READINESS_REQUEST, RefusingPort, ScriptedResponse,
     TestCounter, TestDiscovery, TestEndpoint, TestEnvironment, idempotent_request, in_service,
-    non_idempotent_request, snapshot, wait_until,
+    non_idempotent_request, sleep_ms, snapshot, wait_until,
 };
 use std::process::Command;
 
@@ -118,6 +118,25 @@
     env.gateway.expect_clean_exit().await;
 }
 
+// A write to a full pipe whose reader does not read stopped the one thread, and with it every request.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_that_nobody_reads_does_not_stop_the_gateway() {
+    /// More lines on new configurations than fit a pipe of 64 KiB and the reader's buffer.
+    const SIGNALS: usize = 2500;
+    let endpoint = TestEndpoint::ok("x").await;
+    let mut env = TestEnvironment::with_endpoints(&[&endpoint]).await;
+    env.gateway.stop_reading_log();
+
+    for _ in 0..SIGNALS {
+        env.gateway.send_sighup();
+        sleep_ms(1).await;
+    }
+
+    assert_eq!(env.gateway.request(&idempotent_request(DEADLINE_MS)).await.status(), 200);
+    env.gateway.send_sigterm();
+    env.gateway.expect_clean_exit().await;
+}
+
 #[test]
 fn invalid_configuration_ends_the_process_with_one_log_line_and_status_2() {
     let path = std::env::temp_dir().join(format!("ryefront-gateway-bad-{}.json", std::process::id()));
