Test a tenant whose requests come to another running gateway, known to fail

A gateway that runs but had none of a tenant's requests takes its quota for full when they come: up to 1.17 of it over two windows and 9 s, by the moment (policy/tests/gateway_start/). It is the fault of a start beside a running fleet, without the start.

--- a/policy/tests/gateway_start/main.rs
+++ b/policy/tests/gateway_start/main.rs
@@ -84,6 +84,18 @@
     moments(quota).map(fraction).collect()
 }
 
+/// What is served when a tenant's requests also come to a gateway that runs but had none of them, by moment.
+fn fractions_at_move(quota: Quota) -> Vec<f64> {
+    let fraction = |moment| {
+        let mut simulation = Simulation::new(2, quota, |_| moment);
+        simulation.start(0, 0.0);
+        simulation.delay_clients(1, 2.0 * quota.window());
+        simulation.start(1, 0.0);
+        simulation.play(2.0 * quota.window() + RUN_TIME)
+    };
+    moments(quota).map(fraction).collect()
+}
+
 /// What is served when two gateways start shortly after each other, by moment.
 fn fractions_at_common_start(quota: Quota, skew: Millis, between: Millis) -> Vec<f64> {
     let fraction = |moment| {
@@ -201,6 +213,16 @@
     }
 }
 
+// A running gateway took the spent quota of a tenant that was new to it for full.
+#[test]
+fn quota_holds_when_a_tenant_s_requests_come_to_another_running_gateway() {
+    let mut violations = Vec::new();
+    for quota in QUOTAS {
+        violations.extend(out_of_bounds(&format!("{quota:?}, move"), &fractions_at_move(quota)));
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 #[test]
 fn admission_is_not_held_back_when_a_whole_fleet_starts() {
     for gateway_count in [2, 8, 30] {
--- a/policy/tests/gateway_start/simulation.rs
+++ b/policy/tests/gateway_start/simulation.rs
@@ -52,6 +52,8 @@
     /// How far its wall clock is ahead of virtual time.
     skew: Millis,
     last_event_at: Millis,
+    /// Its clients send requests from this time on.
+    clients_from: Millis,
     client_of_request: HashMap<RequestId, u64>,
 }
 
@@ -113,6 +115,11 @@
         self.schedule.at(at, Step::Start(gateway));
     }
 
+    /// Has the clients of a gateway begin later than the gateway.
+    pub(crate) fn delay_clients(&mut self, gateway: usize, until: Millis) {
+        self.gateways[gateway].clients_from = until;
+    }
+
     /// Stops a gateway's process for a while, as SIGSTOP and SIGCONT do.
     pub(crate) fn stop(&mut self, gateway: usize, from: Millis, time: Millis) {
         self.stops.push(Stop { gateway, from, until: from + time });
@@ -178,14 +185,19 @@
         let gateway = &mut self.gateways[number];
         gateway.last_event_at = now;
         gateway.clock = FleetClock::new(gateway_count, number as u64, gateway.local(now));
+        let gateway_clients_from = gateway.clients_from;
         let time = gateway.clock.time();
         let list = vec![endpoint("a1", EndpointState::Ready, None)];
         self.handle(number, Event::FleetClock { time }, now);
         self.handle(number, Event::EndpointSnapshot(list), now);
         self.schedule.at(now, Step::PollClock(number));
+        self.start_clients(number, now.max(gateway_clients_from));
+    }
+
+    fn start_clients(&mut self, number: usize, from: Millis) {
         for client in 0..CLIENTS {
             // The clients are spread over their pause.
-            let at = now + 1.0 + CLIENT_PAUSE * client as f64 / CLIENTS as f64;
+            let at = from + 1.0 + CLIENT_PAUSE * client as f64 / CLIENTS as f64;
             self.schedule.at(at, Step::Request { gateway: number, client });
         }
     }
@@ -284,6 +296,7 @@
             clock: FleetClock::new(gateway_count, 0, 0.0),
             skew: skew(index as usize),
             last_event_at: 0.0,
+            clients_from: 0.0,
             client_of_request: HashMap::new(),
         }
     }
