Split calls and reported changes from the fleet clock's state machine

The calls with the coding of marks, and what is reported to operators, are modules of their own now; nothing else changed.

--- a/policy/src/fleet_clock.rs
+++ b/policy/src/fleet_clock.rs
@@ -16,27 +16,25 @@
 //! they ended, and passes [`FleetClock::time`] to its engine with
 //! [`Event::FleetClock`](crate::Event::FleetClock).
 
+mod call;
+mod change;
 mod presence;
 
+pub use call::RegisterCall;
+pub use change::ClockChange;
+
 use crate::hash::hash;
 use crate::random::Random;
 use crate::{CounterResult, FleetTime, Millis};
-use presence::{PRESENCE_LIFE, Presence, PresenceKey, SlotNumber, slot_at};
-use std::fmt;
+use call::{Call, mark_of_time, time_of_mark};
+use presence::{Presence, PresenceKey, SlotNumber, slot_at};
 
 /// The fleet's time is kept modulo this, as a total is exact to seven digits only.
 pub const CYCLE: Millis = 4_000_000.0;
 /// How long the register lasts.
 pub const LIFE: Millis = 1000.0;
-/// A key that is only read is not kept.
-const READ_TTL: Millis = 1.0;
 /// The resolution of the time in the register.
 const RESOLUTION: Millis = 10.0;
-/// The register holds a mark: a time in steps of the resolution, times this, plus [`TAG`]. The sum of several
-/// marks, which exists for a moment when gateways write at the same time, has another tag or is too large.
-const TAG_RANGE: f64 = 16.0;
-/// By this remainder a single mark is recognized.
-const TAG: f64 = 5.0;
 /// A total below this is that of an empty register.
 const EMPTY_TOLERANCE: f64 = 0.5;
 /// A mark may be older than its key's life by this much, or the life older than the mark: a mark is made
@@ -82,97 +80,6 @@
 /// A smaller change of the offset is not reported.
 const MIN_REPORTED_MOVE: Millis = 50.0;
 
-/// A call of the counter that the host is to make.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RegisterCall {
-    /// The counter key.
-    pub key: u64,
-    /// What to add.
-    pub amount: f64,
-    /// How long a new key is kept.
-    pub ttl: Millis,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Call {
-    Read {
-        made_at: Millis,
-    },
-    Write {
-        mark: f64,
-    },
-    /// Takes back a mark that was added to another gateway's.
-    Undo {
-        mark: f64,
-    },
-    /// Reads whether a gateway was present. `other` is what the other key has shown, if it was read.
-    ReadPresence {
-        key: PresenceKey,
-        other: Option<Presence>,
-    },
-    AddPresence {
-        slot: SlotNumber,
-    },
-}
-
-impl Call {
-    /// Returns the call of the counter.
-    fn to_counter(self) -> RegisterCall {
-        let register = |amount| RegisterCall { key: FleetClock::register_key(), amount, ttl: LIFE };
-        match self {
-            Self::Read { .. } => register(0.0),
-            Self::Write { mark } => register(mark),
-            Self::Undo { mark } => register(-mark),
-            Self::ReadPresence { key, .. } => {
-                RegisterCall { key: key.counter_key(), amount: 0.0, ttl: READ_TTL }
-            }
-            Self::AddPresence { slot } => RegisterCall {
-                key: PresenceKey::of_slot(slot).counter_key(),
-                amount: presence::amount(slot),
-                ttl: PRESENCE_LIFE,
-            },
-        }
-    }
-}
-
-/// Something that an operator should know of a gateway's fleet clock.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum ClockChange {
-    /// No gateway was present: this one's own time is the fleet's.
-    FirstOfFleet,
-    /// Gateways were present within the last minute, but none has written the register. This one's own time
-    /// is the fleet's from now on, and it may have been so before.
-    Resumed,
-    /// The same, but this gateway's own time was not the fleet's before: earlier counts cannot be found.
-    Replaced,
-    /// The offset from this gateway's own clock has changed.
-    Moved {
-        /// By how much the fleet's time at this gateway has jumped.
-        by: Millis,
-    },
-}
-
-impl ClockChange {
-    /// Returns whether the counts of the fleet until now cannot be found any more, so that the host is to pass
-    /// [`Event::CountsLost`](crate::Event::CountsLost) to its engine.
-    pub fn loses_counts(self) -> bool {
-        self == Self::Replaced
-    }
-}
-
-impl fmt::Display for ClockChange {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::FirstOfFleet => f.write_str("no other gateway was present, using this machine's time"),
-            Self::Resumed => f.write_str("no other gateway keeps the time, using this machine's"),
-            Self::Replaced => f.write_str(
-                "no other gateway keeps the time, and this machine's differs; quotas are taken as spent",
-            ),
-            Self::Moved { by } => write!(f, "moved by {by:.0} ms to agree with the fleet"),
-        }
-    }
-}
-
 /// A fleet whose register has expired, as a gateway that starts sees it.
 #[derive(Clone, Copy, Debug)]
 struct AwaitedFleet {
@@ -497,7 +404,7 @@
     }
 
     fn mark(&self, now: Millis) -> f64 {
-        (self.fleet_time(now) / RESOLUTION).floor() * TAG_RANGE + TAG
+        mark_of_time(self.fleet_time(now))
     }
 
     /// Draws a number in (0, 1).
@@ -506,13 +413,6 @@
     }
 }
 
-/// Returns the time in a total of the register, if it is a single mark.
-fn time_of_mark(total: f64) -> Option<Millis> {
-    let steps = (total - TAG) / TAG_RANGE;
-    let time = steps * RESOLUTION;
-    (steps.fract().abs() < 1e-9 && (0.0..CYCLE).contains(&time)).then_some(time)
-}
-
 /// Returns the difference between two of the fleet's times that is nearest to 0.
 fn centered(difference: Millis) -> Millis {
     (difference + CYCLE / 2.0).rem_euclid(CYCLE) - CYCLE / 2.0
