Read the window before only while the counter keeps up with the calls that lease

Cause: each first contact with a tenant makes two calls for a refill period after the start, also where calls fail and are repeated.

A reply whose call was made before a pause of the process no longer lowers the ratio, as its latency includes the pause.

--- a/policy/src/quota/counter_calls.rs
+++ b/policy/src/quota/counter_calls.rs
@@ -52,6 +52,8 @@
     consecutive_failures: u32,
     last_reply_at: Millis,
     recovered_at: Millis,
+    /// When the process went on after its last pause.
+    resumed_at: Millis,
     unavailability_logged: bool,
     has_counter: bool,
     timeout: Millis,
@@ -68,6 +70,7 @@
             consecutive_failures: 0,
             last_reply_at: 0.0,
             recovered_at: 0.0,
+            resumed_at: f64::NEG_INFINITY,
             unavailability_logged: false,
             has_counter: settings.has_counter,
             timeout: settings.counter_timeout,
@@ -84,6 +87,16 @@
         self.call_ratio
     }
 
+    /// Returns whether the counter keeps up with all calls, so that it can answer some beside those that lease.
+    pub(crate) fn keeps_up(&self) -> bool {
+        self.call_ratio >= 1.0
+    }
+
+    /// Notes that the process goes on after a pause.
+    pub(crate) fn resume(&mut self, now: Millis) {
+        self.resumed_at = now;
+    }
+
     /// Returns when the counter's last unavailability ended.
     pub(crate) fn recovered_at(&self) -> Millis {
         self.recovered_at
@@ -111,8 +124,14 @@
     }
 
     /// Notes the end of a call, and returns what it was.
-    pub(crate) fn ended(&mut self, key: u64, result: CounterResult, latency: Millis) -> Option<CallInFlight> {
+    pub(crate) fn ended(
+        &mut self, key: u64, result: CounterResult, latency: Millis, now: Millis,
+    ) -> Option<CallInFlight> {
         let call = self.in_flight_by_key.remove(&key)?;
+        if now - latency < self.resumed_at {
+            // The latency includes a pause of this process, and says nothing of the counter.
+            return Some(call);
+        }
         let slowness = match result {
             CounterResult::Total(_) => latency / self.fast_reply,
             CounterResult::NotAdded | CounterResult::Unknown => f64::INFINITY,
--- a/policy/src/quota/gate.rs
+++ b/policy/src/quota/gate.rs
@@ -75,6 +75,7 @@
     /// what other gateways spent since, as for a gateway that joins a running fleet.
     pub(crate) fn resume(&mut self, now: Millis) {
         self.clock.rejoin(now);
+        self.calls.resume(now);
         let window_now = self.clock.now(now);
         for tenant in self.tenants.values_mut() {
             let share = tenant.share(&self.plans);
@@ -265,7 +266,7 @@
         let share = tenant.share(&self.plans);
         tenant.lease.advance(now, share);
         let joined = self.clock.joined_within(now.local, share.refill_period());
-        let read = (joined && needs_previous_total(tenant, share))
+        let read = (joined && self.calls.keeps_up() && needs_previous_total(tenant, share))
             .then(|| CounterCall::read_previous(tenant, share));
         let increment = CounterCall::increment(tenant, share, self.draining, self.calls.call_ratio(), now);
         for call in read.into_iter().chain([increment]) {
@@ -278,7 +279,7 @@
     pub(crate) fn on_counter_reply(
         &mut self, key: u64, result: CounterResult, latency: Millis, now: Millis, actions: &mut Vec<Action>,
     ) -> ReplyOutcome {
-        let call = self.calls.ended(key, result, latency);
+        let call = self.calls.ended(key, result, latency, now);
         let Some(CallInFlight { tenant, kind }) = call else { return ReplyOutcome::Nothing };
         let total = match result {
             CounterResult::Total(total) => Some(total),
