--- a/policy/tests/gateway_start/main.rs
+++ b/policy/tests/gateway_start/main.rs
@@ -43,29 +43,33 @@
     moments(quota).map(fraction).collect()
 }
 
-/// What is served when one of two running gateways is stopped for a while, by moment.
-fn fractions_at_pause(quota: Quota, skew: Millis, pause: Millis) -> Vec<f64> {
+/// What is served when one of the running gateways is stopped for a while, by moment.
+fn fractions_at_pause(gateway_count: u32, quota: Quota, skew: Millis, pause: Millis) -> Vec<f64> {
     let fraction = |moment| {
-        let skews = [moment, moment + skew];
-        let mut simulation = Simulation::new(2, quota, |index| skews[index]);
-        simulation.start(0, 0.0);
-        simulation.start(1, ALONE);
+        let last = gateway_count as usize - 1;
+        let mut simulation =
+            Simulation::new(gateway_count, quota, |index| moment + if index == last { skew } else { 0.0 });
+        (0..last).for_each(|gateway| simulation.start(gateway, 0.0));
+        simulation.start(last, ALONE);
         simulation.stop(0, ALONE + 1500.0, pause);
         simulation.play(RUN_TIME)
     };
     moments(quota).map(fraction).collect()
 }
 
-/// What is served when a gateway starts while the other is stopped for a moment, and the register of the fleet's
+/// What is served when a gateway starts while the others are stopped for a moment, and the register of the fleet's
 /// clock has expired, by moment.
-fn fractions_at_start_without_register(quota: Quota, skew: Millis) -> Vec<f64> {
+fn fractions_at_start_without_register(gateway_count: u32, quota: Quota, skew: Millis) -> Vec<f64> {
     let fraction = |moment| {
-        let skews = [moment, moment + skew];
-        let mut simulation = Simulation::new(2, quota, |index| skews[index]);
-        simulation.start(0, 0.0);
-        simulation.stop(0, ALONE - 200.0, 600.0);
+        let last = gateway_count as usize - 1;
+        let mut simulation =
+            Simulation::new(gateway_count, quota, |index| moment + if index == last { skew } else { 0.0 });
+        for gateway in 0..last {
+            simulation.start(gateway, 0.0);
+            simulation.stop(gateway, ALONE - 200.0, 600.0);
+        }
         simulation.expire_register(ALONE - 1.0);
-        simulation.start(1, ALONE);
+        simulation.start(last, ALONE);
         simulation.play(RUN_TIME)
     };
     moments(quota).map(fraction).collect()
@@ -171,34 +175,59 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
-// A gateway that went on after a pause counted the time as refill of its own.
-#[test]
-fn quota_holds_when_a_gateway_goes_on_after_a_pause() {
+/// Plays pauses for all quotas and skews.
+fn assert_quota_holds_after_pause(gateway_count: u32) {
     let mut violations = Vec::new();
     for quota in QUOTAS {
         for pause in [600.0, 1500.0, 3000.0] {
             for skew in [0.0, -HOUR, HOUR] {
-                let case = format!("{quota:?}, paused for {pause} ms, skew {skew} ms");
-                violations.extend(out_of_bounds(&case, &fractions_at_pause(quota, skew, pause)));
+                let case =
+                    format!("{gateway_count} gateways, {quota:?}, paused for {pause} ms, skew {skew} ms");
+                let fractions = fractions_at_pause(gateway_count, quota, skew, pause);
+                violations.extend(out_of_bounds(&case, &fractions));
             }
         }
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
-// A gateway that found the register of the fleet's clock empty took itself for the first of its fleet.
+// A gateway that went on after a pause counted the time as refill of its own.
 #[test]
-fn quota_holds_when_a_gateway_starts_while_the_register_is_empty() {
+fn quota_holds_when_a_gateway_goes_on_after_a_pause() {
+    assert_quota_holds_after_pause(2);
+}
+
+// The same in a larger fleet.
+#[test]
+fn quota_holds_when_one_of_eight_gateways_goes_on_after_a_pause() {
+    assert_quota_holds_after_pause(8);
+}
+
+/// Plays a start without the register for all quotas and skews.
+fn assert_quota_holds_without_register(gateway_count: u32) {
     let mut violations = Vec::new();
     for quota in QUOTAS {
         for skew in [0.0, -HOUR, HOUR] {
-            let case = format!("{quota:?}, no register, skew {skew} ms");
-            violations.extend(out_of_bounds(&case, &fractions_at_start_without_register(quota, skew)));
+            let case = format!("{gateway_count} gateways, {quota:?}, no register, skew {skew} ms");
+            let fractions = fractions_at_start_without_register(gateway_count, quota, skew);
+            violations.extend(out_of_bounds(&case, &fractions));
         }
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+// A gateway that found the register of the fleet's clock empty took itself for the first of its fleet.
+#[test]
+fn quota_holds_when_a_gateway_starts_while_the_register_is_empty() {
+    assert_quota_holds_without_register(2);
+}
+
+// The same in a larger fleet.
+#[test]
+fn quota_holds_when_a_gateway_starts_beside_seven_while_the_register_is_empty() {
+    assert_quota_holds_without_register(8);
+}
+
 // A gateway whose clock was stepped while no other kept the fleet's time served a whole quota twice.
 #[test]
 fn quota_holds_when_a_gateway_with_another_clock_starts_after_the_last_one() {
