--- a/policy/src/fleet_clock.rs
+++ b/policy/src/fleet_clock.rs
@@ -9,7 +9,7 @@
 //! the fleet.
 //!
 //! A gateway that starts and finds the register empty is the first of its fleet only if no gateway has been
-//! present for a minute ([`presence`]). Otherwise it waits for the register to be written again, for a moment
+//! present for a minute (module `presence`). Otherwise it waits for the register to be written again, for a moment
 //! if its own time may be the fleet's, and longer if it surely is not.
 //!
 //! The state machine does no I/O: the host makes the calls that [`FleetClock::poll`] returns, reports how
