--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -137,7 +137,7 @@
         peek(&self.stream)
     }
 
-    /// Lets other tasks read what has arrived on the socket and was not read yet: see [`read_before_timeout`].
+    /// Lets other tasks read what has arrived on the socket and was not read yet, before a timeout takes effect.
     pub async fn read_before_timeout(&self) {
         read_before_timeout(&self.stream).await;
     }
