--- a/policy/src/quota/gate.rs
+++ b/policy/src/quota/gate.rs
@@ -297,7 +297,8 @@
         }
     }
 
-    /// Without the total of the window before, other gateways are taken to have left an even part of the burst.
+    /// Without the total of the window before, other gateways are taken to have left an even part of the
+    /// burst.
     fn on_previous_read(&mut self, name: &Name, total: Option<f64>, now: Millis) -> ReplyOutcome {
         let Some(tenant) = self.tenants.get_mut(name) else { return ReplyOutcome::Nothing };
         let share = tenant.share(&self.plans);
