--- a/policy/src/fleet_clock.rs
+++ b/policy/src/fleet_clock.rs
@@ -9,8 +9,8 @@
 //! the fleet.
 //!
 //! A gateway that starts and finds the register empty is the first of its fleet only if no gateway has been
-//! present for a minute (module `presence`). Otherwise it waits for the register to be written again, for a moment
-//! if its own time may be the fleet's, and longer if it surely is not.
+//! present for a minute (module `presence`). Otherwise it waits for the register to be written again, for a
+//! moment if its own time may be the fleet's, and longer if it surely is not.
 //!
 //! The state machine does no I/O: the host makes the calls that [`FleetClock::poll`] returns, reports how
 //! they ended, and passes [`FleetClock::time`] to its engine with
@@ -374,8 +374,8 @@
         self.awaited = None;
         let was_synchronized = self.synchronized;
         let is_first = self.bounds.is_none();
-        // A mark that would be nearly as old as its key's life by this gateway's own time is rather one that has
-        // just been written, while this clock is ahead.
+        // A mark that would be nearly as old as its key's life by this gateway's own time is rather one
+        // that has just been written, while this clock is ahead.
         let own_time_fits = is_first && (low..=(low + LIFE).min(high) - WRITE_DELAY).contains(&self.offset);
         let narrow = high - low <= NARROW_BOUNDS;
         self.synchronized |= own_time_fits || narrow || self.reads >= MAX_CONVERGING_READS;
--- a/policy/src/fleet_clock/change.rs
+++ b/policy/src/fleet_clock/change.rs
@@ -21,8 +21,8 @@
 }
 
 impl ClockChange {
-    /// Returns whether the counts of the fleet until now cannot be found any more, so that the host is to pass
-    /// [`Event::CountsLost`](crate::Event::CountsLost) to its engine.
+    /// Returns whether the counts of the fleet until now cannot be found any more, so that the host is to
+    /// pass [`Event::CountsLost`](crate::Event::CountsLost) to its engine.
     pub fn loses_counts(self) -> bool {
         self == Self::Replaced
     }
--- a/policy/src/fleet_clock/presence.rs
+++ b/policy/src/fleet_clock/presence.rs
@@ -1,7 +1,9 @@
 //! Counter keys that show for a minute that a fleet has been running.
 //!
-//! The register of the fleet's clock expires every second, so a gateway that starts may find it empty although
-//! a fleet runs: it has just expired, or its writers are held up. Time is divided into slots. In each slot the
+//! The register of the fleet's clock expires every second, so a gateway that starts may find it empty
+//! although
+//! a fleet runs: it has just expired, or its writers are held up. Time is divided into slots. In each slot
+//! the
 //! gateways that write the register add to the slot's presence key, which outlives the slot, so that at any
 //! time one of the two keys exists. Its total also tells the slot, and with it the fleet's time to within the
 //! life of the key.
--- a/policy/src/quota/counter_calls.rs
+++ b/policy/src/quota/counter_calls.rs
@@ -87,7 +87,8 @@
         self.call_ratio
     }
 
-    /// Returns whether the counter keeps up with all calls, so that it can answer some beside those that lease.
+    /// Returns whether the counter keeps up with all calls, so that it can answer some beside those that
+    /// lease.
     pub(crate) fn keeps_up(&self) -> bool {
         self.call_ratio >= 1.0
     }
