--- a/review/stand_ins/common.rs
+++ b/review/stand_ins/common.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -33,6 +33,7 @@
 pub fn cannot_run(record: &Record, text: &str) -> ! {
     record.line(format!("could not run: {text}"));
     record.end_processes();
+    let _ = std::fs::remove_dir_all(temporary_folder());
     exit(COULD_NOT_RUN)
 }
 
@@ -153,6 +154,16 @@
     }
 }
 
+impl Drop for Gateway {
+    /// Ends the process also where the case ends in a panic.
+    fn drop(&mut self) {
+        if self.exit_status().is_none() {
+            self.signal(SIGKILL);
+            let _ = self.child.wait();
+        }
+    }
+}
+
 /// The resident memory of a process in KiB, without that of files.
 pub fn resident_kib(pid: u32) -> Option<u64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
@@ -349,8 +360,6 @@
     pub address: SocketAddr,
     /// While set, requests that arrive are begun but never answered; connections stay open.
     pub hangs: AtomicBool,
-    /// While not 0, one of so many answers is spoilt: its `Content-Length` is too small.
-    pub spoils_one_in: AtomicU64,
     pub work: Duration,
     /// The ids of the requests whose last byte has come.
     pub begun: Mutex<Vec<String>>,
@@ -364,7 +373,6 @@
             name: name.to_owned(),
             address: listener.local_addr().expect("no address"),
             hangs: AtomicBool::new(false),
-            spoils_one_in: AtomicU64::new(0),
             work,
             begun: Mutex::default(),
             record: record.clone(),
@@ -378,35 +386,13 @@
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(request) = read_message(&mut reader)? {
             let id = request.headers.get("req-id").cloned().unwrap_or_default();
-            let number = {
-                let mut begun = self.begun.lock().unwrap();
-                begun.push(id.clone());
-                begun.len() as u64
-            };
+            self.begun.lock().unwrap().push(id.clone());
             self.record.line(format!("{}: begins {id} ({})", self.name, request.start_line));
             if self.hangs.load(SeqCst) {
                 continue;
             }
             thread::sleep(self.work);
             let body = answer_body(&id);
-            let spoils_one_in = self.spoils_one_in.load(SeqCst);
-            if spoils_one_in > 0 && number % spoils_one_in == 0 {
-                let wrong = body.len() / 2;
-                self.record.line(format!(
-                    "{}: spoilt answer to {id}: length {wrong} for {} bytes",
-                    self.name,
-                    body.len()
-                ));
-                stream.write_all(
-                    format!("HTTP/1.1 200 OK\r\nContent-Length: {wrong}\r\n\r\n{body}").as_bytes(),
-                )?;
-                // The connection stays open and cannot be used any more.
-                while reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
-                    let length = reader.buffer().len();
-                    reader.consume(length);
-                }
-                return Ok(());
-            }
             write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
         }
         Ok(())
