Log the heap in use and its limit at the start and at SIGHUP

The heap is now counted at the allocator (crate cap), which also includes the buffers of the HTTP library. 'memory: <n> of <limit> KiB of heap in use' is logged after the start and at each SIGHUP; the limit is 0.7 of limits.memory_mb, 192 MB where it is missing. A value that is no number above 0 is rejected with its key and the valid form. Nothing else changes.

Tests: memory_in_use_and_its_limit_are_logged_at_the_start_and_at_each_sighup, memory_limit_is_in_megabytes_and_an_invalid_one_names_its_key_and_the_valid_form.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -25,6 +25,9 @@
 const DEFAULT_COUNTER_TIMEOUT: Duration = Duration::from_millis(50);
 /// The limit of file descriptors that is used where the configuration has none.
 const DEFAULT_MAX_DESCRIPTORS: usize = 1024;
+/// The memory limit that is used where the configuration has none, in MB.
+const DEFAULT_MAX_MEMORY_MB: f64 = 192.0;
+const BYTES_PER_MB: f64 = 1e6;
 
 /// Why the configuration cannot be loaded.
 #[derive(Debug, thiserror::Error)]
@@ -101,6 +104,8 @@
 struct Limits {
     #[serde(rename = "sockets")]
     max_descriptors: Option<usize>,
+    #[serde(rename = "memory_mb")]
+    max_memory_mb: Option<f64>,
 }
 
 /// Which value applies if both an environment variable and the file have one.
@@ -136,6 +141,8 @@
     pub seed: u64,
     /// The maximum number of file descriptors that the process may hold.
     pub max_descriptors: usize,
+    /// The memory that the process may use before the platform kills it, in bytes.
+    pub max_memory_bytes: u64,
     /// The last known endpoint list, used until one is received from discovery.
     pub cached_endpoints: EndpointList,
     /// The timeout for connecting to an endpoint.
@@ -199,6 +206,7 @@
             counter,
             seed: seed(&file.seed)?,
             max_descriptors: file.limits.max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
+            max_memory_bytes: max_memory_bytes(file.limits.max_memory_mb)?,
             cached_endpoints: cached_endpoints(&file.cached_endpoints)?,
             connect_timeout,
             endpoint_idle_timeout: duration_or(
@@ -220,6 +228,18 @@
     text.parse().map_err(|_| ParseError::InvalidValue { key, found: text, expected: EXPECTED })
 }
 
+fn max_memory_bytes(max_memory_mb: Option<f64>) -> Result<u64, ParseError> {
+    let megabytes = max_memory_mb.unwrap_or(DEFAULT_MAX_MEMORY_MB);
+    if megabytes > 0.0 {
+        return Ok((megabytes * BYTES_PER_MB) as u64);
+    }
+    Err(ParseError::InvalidValue {
+        key: "limits.memory_mb",
+        found: megabytes.to_string(),
+        expected: "a number of megabytes above 0",
+    })
+}
+
 fn seed(text: &str) -> Result<u64, ParseError> {
     u64::from_str_radix(text, 16).map_err(|_| ParseError::InvalidValue {
         key: "seed",
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,7 +15,8 @@
 //!    signals.
 //!
 //! The other modules are shared: `headers` defines the names of headers and paths, [`socket`] and
-//! `instrumented_stream` wrap TCP streams, and `clock`, [`log`] and [`task`] are utilities.
+//! `instrumented_stream` wrap TCP streams, [`memory`] measures the memory in use, and `clock`, [`log`] and
+//! [`task`] are utilities.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -32,6 +33,7 @@
 pub mod http_connection;
 mod instrumented_stream;
 pub mod log;
+pub mod memory;
 pub mod reload;
 mod request_table;
 pub mod signals;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -2,21 +2,28 @@
 
 #![forbid(unsafe_code)]
 
+use cap::Cap;
 use ryefront_gateway::client::Server;
 use ryefront_gateway::config::Config;
 use ryefront_gateway::discovery::{EndpointListSink, WatchSettings, watch_endpoints};
 use ryefront_gateway::endpoint::{EndpointRegistry, EndpointSettings};
 use ryefront_gateway::engine::Engine;
 use ryefront_gateway::log;
+use ryefront_gateway::memory::MemoryMonitor;
 use ryefront_gateway::reload::reload_on_sighup;
 use ryefront_gateway::signals::Signals;
 use ryefront_gateway::startup::{self, ConnectionLimits, StartupError};
 use ryefront_gateway::task::spawn;
+use std::alloc::System;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+/// Counts the bytes that are allocated. It has no limit of its own, as a failed allocation ends the process.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
 /// The exit status of a gateway that cannot start.
 const EXIT_STARTUP_FAILED: u8 = 2;
 
@@ -44,6 +51,7 @@
     let dispatcher = signals.clone();
     spawn(async move { dispatcher.dispatch().await });
 
+    let memory = Rc::new(MemoryMonitor::new(config.max_memory_bytes, heap_bytes_in_use));
     let connection_limits = ConnectionLimits::new(config.max_descriptors);
     let endpoints = EndpointRegistry::new(EndpointSettings {
         connect_timeout: config.connect_timeout,
@@ -64,11 +72,16 @@
     engine.apply(config.cached_endpoints);
     spawn(endpoints.maintain_connections());
     spawn(watch_endpoints(watch, engine.clone()));
-    spawn(reload_on_sighup(signals.clone(), discovery_address, engine));
+    spawn(reload_on_sighup(signals.clone(), discovery_address, engine, memory.clone()));
 
     if let Ok(address) = listener.local_addr() {
         log::write(format_args!("ryefront-gateway {}: listening at {address}", config.name));
     }
+    log::write(format_args!("memory: {memory}"));
     server.serve(listener, signals.termination_requested()).await;
     Ok(())
 }
+
+fn heap_bytes_in_use() -> usize {
+    ALLOCATOR.allocated()
+}
--- a/gateway/src/reload.rs
+++ b/gateway/src/reload.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use crate::engine::Engine;
 use crate::log;
+use crate::memory::MemoryMonitor;
 use crate::signals::Signals;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,12 +20,13 @@
 /// The delay between two retries.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Reloads the configuration on each SIGHUP. Never returns.
+/// Logs the memory in use and reloads the configuration on each SIGHUP. Never returns.
 pub async fn reload_on_sighup(
-    signals: Rc<Signals>, discovery: watch::Sender<SocketAddr>, engine: Rc<Engine>,
+    signals: Rc<Signals>, discovery: watch::Sender<SocketAddr>, engine: Rc<Engine>, memory: Rc<MemoryMonitor>,
 ) {
     loop {
         signals.reload_requested().await;
+        log::write(format_args!("memory: {memory}"));
         if let Some(config) = reload_config().await {
             apply(&config, &discovery, &engine);
         }
--- a/gateway/tests/config.rs
+++ b/gateway/tests/config.rs
@@ -139,3 +139,21 @@
         assert_eq!(error_after_replacement(part, replacement), expected);
     }
 }
+
+#[test]
+fn memory_limit_is_in_megabytes_and_an_invalid_one_names_its_key_and_the_valid_form() {
+    let with_limit = |limit: &str| {
+        CONFIG.replacen(r#""seed""#, &format!(r#""limits":{{"sockets":512,"memory_mb":{limit}}},"seed""#), 1)
+    };
+    let parse = |limit| Config::parse(&with_limit(limit), |_, file| file);
+
+    assert_eq!(parse("32").expect("a valid configuration").max_memory_bytes, 32_000_000);
+    assert_eq!(parse("0.5").expect("a valid configuration").max_memory_bytes, 500_000);
+    for invalid in ["0", "-32"] {
+        let error = parse(invalid).expect_err("an error").to_string();
+        assert_eq!(
+            error,
+            format!(r#"limits.memory_mb is "{invalid}", expected a number of megabytes above 0"#)
+        );
+    }
+}
--- a/gateway/tests/reconfiguration.rs
+++ b/gateway/tests/reconfiguration.rs
@@ -147,3 +147,24 @@
     assert!((1.0..=8.0).contains(&added), "{added}");
     assert_eq!(env.counter.call_count(), INITIAL_CALLS);
 }
+
+// The log has to show an operator how much memory a gateway holds, without a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_in_use_and_its_limit_are_logged_at_the_start_and_at_each_sighup() {
+    let endpoint = TestEndpoint::ok("x").await;
+    let mut options = GatewayOptions::with_endpoint(endpoint.address);
+    options.config_edits.push(ConfigEdit::new(r#""limits":{"#, r#""limits":{"memory_mb":32,"#));
+    let mut env = TestEnvironment::start(&options, CounterBehavior::Add).await;
+
+    env.gateway.reconfigure(&[]).await;
+    env.gateway.reconfigure(&[]).await;
+
+    let lines = env.gateway.log_lines("memory: ");
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    for line in lines {
+        let figures = line.strip_prefix("memory: ").and_then(|rest| rest.split_once(" of "));
+        let (in_use, limit) = figures.expect("the form `memory: <n> of <limit> KiB`");
+        assert_eq!(limit, "21875 KiB of heap in use");
+        assert!((1..21875).contains(&in_use.parse::<u32>().expect("a number of KiB")), "{in_use}");
+    }
+}
