Derive the times of the shutdown from the longest deadline of the settings

Cause: all times of the shutdown were constants for a longest deadline of 3 s. Final responses were due 3.5 s after SIGTERM, and new connections were kept for a first request until 1.2 s after it; hard-limit-ms of the classes was not read.

ShutdownSchedule derives each step from the time of the kill, which follows from the longest deadline that a class names, 3 s at most. Final responses are due 0.2 s before it, first requests are accepted until then at the latest, and the process ends 0.05 s before it, so that every request that is read has its answer first. For 3 s the times are those of before.

--- a/gateway/src/client/connection.rs
+++ b/gateway/src/client/connection.rs
@@ -3,7 +3,7 @@
 use crate::client::connection_state::ConnectionState;
 use crate::client::request_head::MAX_HEAD_BYTES;
 use crate::client::response::HttpResponse;
-use crate::client::shutdown::{CloseSignal, LATE_CONNECTION_PERIOD};
+use crate::client::shutdown::CloseSignal;
 use crate::instrumented_stream::InstrumentedStream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -66,7 +66,7 @@
 ) {
     match serve_until_close(http.as_mut(), state, close_signal).await {
         CloseReason::Closed | CloseReason::RequestTimeout => {}
-        CloseReason::Shutdown => close_for_shutdown(http, state).await,
+        CloseReason::Shutdown => close_for_shutdown(http, state, close_signal).await,
         CloseReason::Evicted => close_evicted(http, state).await,
     }
 }
@@ -86,8 +86,10 @@
 
 /// Closes a connection after the response in progress. On an unused connection, a first request is awaited
 /// for a while, as clients do not retry a first request whose connection closes without a response.
-async fn close_for_shutdown(mut http: Pin<&mut impl HttpConnection>, state: &ConnectionState) {
-    let first_request_deadline = state.idle_since() + LATE_CONNECTION_PERIOD;
+async fn close_for_shutdown(
+    mut http: Pin<&mut impl HttpConnection>, state: &ConnectionState, close_signal: &CloseSignal,
+) {
+    let first_request_deadline = close_signal.first_request_deadline();
     if state.is_unused() && timeout_at(first_request_deadline, http.as_mut()).await.is_ok() {
         return;
     }
--- a/gateway/src/client/mod.rs
+++ b/gateway/src/client/mod.rs
@@ -18,5 +18,8 @@
 mod response;
 mod server;
 mod shutdown;
+mod shutdown_schedule;
 
+pub(crate) use request::MAX_DEADLINE_MS;
 pub use server::Server;
+pub use shutdown_schedule::ShutdownSchedule;
--- a/gateway/src/client/request.rs
+++ b/gateway/src/client/request.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 /// The maximum time to a deadline.
-const MAX_DEADLINE_MS: u64 = 600_000;
+pub(crate) const MAX_DEADLINE_MS: u64 = 600_000;
 /// The maximum length of a request ID, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 64;
 /// The number of hexadecimal digits of a tenant.
--- a/gateway/src/client/server.rs
+++ b/gateway/src/client/server.rs
@@ -7,6 +7,7 @@
 use crate::client::listener::ClientListener;
 use crate::client::overload::MemoryOverload;
 use crate::client::shutdown::Shutdown;
+use crate::client::shutdown_schedule::ShutdownSchedule;
 use crate::engine::Engine;
 use crate::memory::MemoryMonitor;
 use crate::socket::{SharedStream, disable_nagle};
@@ -27,13 +28,14 @@
 
 impl Server {
     /// Creates a server with at most `max_connections` client connections at a time, which rejects requests
-    /// when `memory` is exceeded.
+    /// when `memory` is exceeded and shuts down by `schedule`.
     pub fn new(
         engine: Rc<Engine>, settings: &Settings, max_connections: usize, memory: Rc<MemoryMonitor>,
+        schedule: ShutdownSchedule,
     ) -> Rc<Self> {
         let connections = Rc::new(ConnectionTable::new(max_connections));
         let overload = Rc::new(MemoryOverload::new(memory, connections.clone()));
-        let shutdown = Rc::new(Shutdown::new());
+        let shutdown = Rc::new(Shutdown::new(schedule));
         let handler = RequestHandler::new(
             engine.clone(),
             settings,
@@ -50,16 +52,16 @@
         let listener = ClientListener::new(listener, self.connections.clone());
         let mut stop_accepting = pin!(async {
             terminated.await;
-            self.shutdown.drain_while_accepting(&self.engine).await;
+            self.shutdown.drain_while_accepting(&self.engine).await
         });
-        loop {
+        let shutdown_began_at = loop {
             tokio::select! {
-                () = stop_accepting.as_mut() => break,
+                began_at = stop_accepting.as_mut() => break began_at,
                 stream = listener.accept() => self.serve_connection(stream),
             }
-        }
+        };
         self.shutdown.drain_accept_queue(listener, |stream| self.serve_connection(stream)).await;
-        self.shutdown.close_all_connections(&self.engine, &self.connections).await;
+        self.shutdown.close_all_connections(&self.engine, &self.connections, shutdown_began_at).await;
     }
 
     fn serve_connection(self: &Rc<Self>, stream: TcpStream) {
--- a/gateway/src/client/shutdown.rs
+++ b/gateway/src/client/shutdown.rs
@@ -1,24 +1,21 @@
-//! Graceful shutdown, in the order of [`ShutdownPhase`].
+//! Graceful shutdown, in the order of [`ShutdownPhase`] and at the times of [`ShutdownSchedule`].
 //!
-//! The process may be killed 3.7 s after SIGTERM. Until then every request that was accepted gets its final
-//! response, and clients stop using their connections.
+//! Until the process may be killed, every request that was accepted gets its final response, and clients stop
+//! using their connections.
 
 use crate::client::connection_table::ConnectionTable;
 use crate::client::listener::ClientListener;
+use crate::client::shutdown_schedule::ShutdownSchedule;
 use crate::engine::Engine;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// How long after SIGTERM clients may still open connections.
-pub(super) const LATE_CONNECTION_PERIOD: Duration = Duration::from_millis(500);
-/// The time for returning the units of leases to the quotas, before the accept queue is drained.
-const LEASE_RETURN_TIME: Duration = Duration::from_millis(200);
+/// How long a new connection is kept for its first request during the shutdown.
+const FIRST_REQUEST_PERIOD: Duration = Duration::from_millis(500);
 /// How long accepting from the queue is retried while it fails.
 const ACCEPT_QUEUE_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long after SIGTERM the remaining requests are timed out: just before the process may be killed.
-const FINAL_RESPONSES_DELAY: Duration = Duration::from_millis(3500);
 /// How long after the last final response the remaining connections are abandoned, as clients may stop
 /// reading a response or sending a request halfway.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -70,6 +67,9 @@
 pub(super) struct CloseSignal {
     phase: watch::Receiver<ShutdownPhase>,
     round_at_open: CloseRound,
+    opened_at: Instant,
+    /// When the remaining requests are timed out.
+    final_responses_at: watch::Receiver<Option<Instant>>,
 }
 
 impl CloseSignal {
@@ -81,18 +81,29 @@
         // deadlock.
         drop(self.phase.wait_for(closes).await);
     }
+
+    /// Until when the connection is kept for its first request, once it is to be closed. No request may arrive
+    /// after the final responses, as the process may be killed before it is answered.
+    pub(super) fn first_request_deadline(&self) -> Instant {
+        let deadline = self.opened_at + FIRST_REQUEST_PERIOD;
+        self.final_responses_at
+            .borrow()
+            .map_or(deadline, |final_responses_at| deadline.min(final_responses_at))
+    }
 }
 
 /// The shutdown of the client side.
 pub(super) struct Shutdown {
+    schedule: ShutdownSchedule,
     phase: watch::Sender<ShutdownPhase>,
     /// When the remaining requests are timed out; `None` before SIGTERM.
     final_responses_at: watch::Sender<Option<Instant>>,
 }
 
 impl Shutdown {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(schedule: ShutdownSchedule) -> Self {
         Self {
+            schedule,
             phase: watch::Sender::new(ShutdownPhase::Serving),
             final_responses_at: watch::Sender::new(None),
         }
@@ -107,7 +118,8 @@
     pub(super) fn close_signal(&self) -> CloseSignal {
         let phase = self.phase.subscribe();
         let round_at_open = phase.borrow().close_round();
-        CloseSignal { phase, round_at_open }
+        let final_responses_at = self.final_responses_at.subscribe();
+        CloseSignal { phase, round_at_open, opened_at: Instant::now(), final_responses_at }
     }
 
     /// Resolves when the remaining requests are to be timed out, as the process may be killed soon.
@@ -122,16 +134,20 @@
 
     /// Runs the phases in which new connections are still accepted: fails readiness checks, waits for late
     /// connections, closes idle connections, and returns the leases. Runs concurrently with the listener.
-    pub(super) async fn drain_while_accepting(&self, engine: &Engine) {
-        self.final_responses_at.send_replace(Some(Instant::now() + FINAL_RESPONSES_DELAY));
+    /// Returns when the shutdown began.
+    pub(super) async fn drain_while_accepting(&self, engine: &Engine) -> Instant {
+        let began_at = Instant::now();
+        self.final_responses_at.send_replace(Some(began_at + self.schedule.final_responses));
         self.enter(ShutdownPhase::NotReady);
-        sleep(LATE_CONNECTION_PERIOD / 2).await;
+        sleep_until(began_at + self.schedule.close_idle).await;
 
         self.enter(ShutdownPhase::ClosingIdleConnections);
-        sleep(LATE_CONNECTION_PERIOD / 2).await;
+        sleep_until(began_at + self.schedule.return_leases).await;
 
         self.enter(ShutdownPhase::ReturningLeases);
-        engine.return_leases(LEASE_RETURN_TIME).await;
+        engine.return_leases();
+        sleep_until(began_at + self.schedule.close_listener).await;
+        began_at
     }
 
     /// Serves the connections in the accept queue and closes the listener.
@@ -140,13 +156,20 @@
         listener.drain_accept_queue(ACCEPT_QUEUE_TIMEOUT, serve).await;
     }
 
-    /// Closes all connections once they are idle. Returns when they are closed, or [`CLOSE_TIMEOUT`] after
-    /// the last final response.
-    pub(super) async fn close_all_connections(&self, engine: &Engine, connections: &ConnectionTable) {
+    /// Closes all connections once they are idle. Returns when they are closed, [`CLOSE_TIMEOUT`] after the
+    /// last final response, or just before the process may be killed.
+    pub(super) async fn close_all_connections(
+        &self, engine: &Engine, connections: &ConnectionTable, began_at: Instant,
+    ) {
         self.enter(ShutdownPhase::ClosingAllConnections);
+        let exit_at = began_at + self.schedule.exit;
         let mut last_in_progress_at = Instant::now();
-        while !connections.is_empty() && last_in_progress_at.elapsed() < CLOSE_TIMEOUT {
-            let _ = timeout(CLOSE_CHECK_INTERVAL, connections.removed()).await;
+        while !connections.is_empty()
+            && last_in_progress_at.elapsed() < CLOSE_TIMEOUT
+            && Instant::now() < exit_at
+        {
+            let check_at = exit_at.min(Instant::now() + CLOSE_CHECK_INTERVAL);
+            let _ = timeout_at(check_at, connections.removed()).await;
             if engine.requests_in_progress() > 0 {
                 last_in_progress_at = Instant::now();
             }
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration of a gateway, from environment variables and the JSON file whose path is in
 //! `NODE_CONFIG`.
 
+use crate::client::MAX_DEADLINE_MS;
 use crate::clock::{duration, millis};
 use crate::discovery::backoff::{DiscoveryService, PollTiming};
 use crate::discovery::{EndpointList, EndpointListError};
@@ -149,6 +150,8 @@
     pub connect_timeout: Duration,
     /// How long a connection may be idle before its endpoint closes it.
     pub endpoint_idle_timeout: Duration,
+    /// The longest deadline of a request that the settings name, if they name any.
+    pub longest_deadline: Option<Duration>,
     /// The settings of the policy.
     pub settings: Settings,
 }
@@ -213,6 +216,7 @@
                 DEFAULT_ENDPOINT_IDLE_TIMEOUT,
                 permissions.number("keepalive-ms")?,
             ),
+            longest_deadline: longest_deadline(&file.settings)?,
             settings,
         })
     }
@@ -255,6 +259,12 @@
     }
 }
 
+/// Returns the longest deadline that the settings name, but at most [`MAX_DEADLINE_MS`].
+fn longest_deadline(file_settings: &Value) -> Result<Option<Duration>, ParseError> {
+    let longest = ryefront_settings::longest_deadline(file_settings)?;
+    Ok(longest.map(|longest| duration(longest.min(MAX_DEADLINE_MS as Millis))))
+}
+
 /// Returns the timing of polls, so that a gateway learns of a draining endpoint within the drain grace
 /// period.
 fn poll_timing(file_settings: &Value, settings: &Settings) -> Result<PollTiming, ParseError> {
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -103,11 +103,9 @@
         }
     }
 
-    /// Returns unused leased units, as no more requests will arrive. Waits for `reply_time`, within which the
-    /// counter has usually replied.
-    pub(crate) async fn return_leases(&self, reply_time: Duration) {
+    /// Returns unused leased units, as few more requests will arrive.
+    pub(crate) fn return_leases(&self) {
         self.post(Event::DrainStarted);
-        sleep(reply_time).await;
     }
 
     /// Returns the number of requests without a final response.
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 
 use cap::Cap;
-use ryefront_gateway::client::Server;
+use ryefront_gateway::client::{Server, ShutdownSchedule};
 use ryefront_gateway::config::Config;
 use ryefront_gateway::discovery::{EndpointListSink, WatchSettings, watch_endpoints};
 use ryefront_gateway::endpoint::{EndpointRegistry, EndpointSettings};
@@ -61,7 +61,13 @@
         memory: memory.clone(),
     });
     let engine = Engine::start(config.settings.clone(), config.seed, endpoints.clone(), config.counter)?;
-    let server = Server::new(engine.clone(), &config.settings, connection_limits.clients, memory.clone());
+    let server = Server::new(
+        engine.clone(),
+        &config.settings,
+        connection_limits.clients,
+        memory.clone(),
+        ShutdownSchedule::new(config.longest_deadline),
+    );
 
     let (discovery_address, address) = watch::channel(config.discovery);
     let watch = WatchSettings {
--- a/gateway/tests/graceful_shutdown/load.rs
+++ b/gateway/tests/graceful_shutdown/load.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
@@ -14,6 +14,8 @@
 /// Clients stop sending this long before the kill: the gateway may be gone when a later request arrives, and
 /// the client would not see the close of its connection before the kill.
 const SEND_MARGIN_BEFORE_KILL: Duration = Duration::from_millis(5);
+/// How long a client that connects while the gateway drains waits before its first request, in ms.
+const IDLE_BEFORE_FIRST_REQUEST_MS: std::ops::Range<u64> = 200..700;
 /// How long the clients send requests before SIGTERM.
 pub(crate) const LOAD_BEFORE_SIGTERM: Duration = Duration::from_millis(400);
 
@@ -26,6 +28,9 @@
     ReusedConnectionClosed,
     /// A new connection was closed without a response.
     NewConnectionClosed,
+    /// A connection that had been open for a while without a request was closed without a response. The client
+    /// may retry the request, as on a reused connection.
+    UnusedConnectionClosed,
     /// There was no response when the gateway was killed.
     Unanswered,
 }
@@ -34,6 +39,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Connection {
     New,
+    /// The first, but sent a while after the client connected.
+    Unused,
     Reused,
 }
 
@@ -78,6 +85,7 @@
     pub(crate) gateway: SocketAddr,
     pub(crate) log: Arc<RequestLog>,
     pub(crate) deadline: Duration,
+    pub(crate) sigterm: Instant,
     /// Clients open no new connection from this time on.
     pub(crate) last_connect: Instant,
     pub(crate) kill: Instant,
@@ -109,6 +117,7 @@
     async fn exchange(&self, client: &mut TestClient, connection: Connection, text: &str) -> Outcome {
         let closed = match connection {
             Connection::New => Outcome::NewConnectionClosed,
+            Connection::Unused => Outcome::UnusedConnectionClosed,
             Connection::Reused => Outcome::ReusedConnectionClosed,
         };
         if client.stream.write_all(text.as_bytes()).await.is_err() {
@@ -172,6 +181,22 @@
         }
     }
 
+    /// Runs a client that connects while the gateway drains and sends its first request a random time later,
+    /// unless the gateway has closed the connection before.
+    async fn run_late_client(&self, mut rng: Rng) {
+        let connect_at = self.sigterm + self.last_connect.duration_since(self.sigterm).mul_f64(rng.f64());
+        sleep_until(connect_at).await;
+        let Ok(stream) = TcpStream::connect(self.gateway).await else { return };
+        let mut client = TestClient::new(stream);
+        let idle_for = Duration::from_millis(rng.u64(IDLE_BEFORE_FIRST_REQUEST_MS));
+        let classes = [Class::Idempotent, Class::WithIdempotencyKey, Class::NonIdempotent];
+        let request = self.request(classes[rng.usize(0..3)], "");
+        let closed = timeout_at(Instant::now() + idle_for, client.stream.fill_buf()).await.is_ok();
+        if !closed && self.may_send() {
+            self.send(&mut client, Connection::Unused, &request).await;
+        }
+    }
+
     /// Starts all clients of a scenario: the active ones immediately, the idle ones one after another.
     pub(crate) fn start_clients(&self, scenario: &Scenario) -> Vec<JoinHandle<()>> {
         let mut clients = Vec::new();
@@ -190,6 +215,11 @@
                 }
             }));
         }
+        for n in 0..scenario.late_clients {
+            let rng = Rng::with_seed(scenario.seed * 1000 + 500 + n as u64);
+            let load = self.clone();
+            clients.push(tokio::spawn(async move { load.run_late_client(rng).await }));
+        }
         clients
     }
 }
--- a/gateway/tests/graceful_shutdown/main.rs
+++ b/gateway/tests/graceful_shutdown/main.rs
@@ -8,7 +8,8 @@
 mod scenario;
 
 use common::{
-    GatewayOptions, GatewayProcess, ScriptedResponse, TestCounter, TestDiscovery, TestEndpoint, in_service,
+    ConfigEdit, GatewayOptions, GatewayProcess, ScriptedResponse, TestCounter, TestDiscovery, TestEndpoint,
+    in_service,
 };
 use load::{LOAD_BEFORE_SIGTERM, Load, Outcome, RequestLog, SentRequest};
 use scenario::{LaterSignal, Scenario, Signal};
@@ -44,6 +45,10 @@
         refill_rate: 100_000.0,
         burst: 100_000.0,
         max_sockets: scenario.max_sockets,
+        config_edits: vec![ConfigEdit::new(
+            r#""goal-time-ms":800"#,
+            format!(r#""goal-time-ms":800,"hard-limit-ms":{}"#, scenario.deadline.as_millis()),
+        )],
         ..GatewayOptions::with_entries(&entries)
     };
     options.with_faults(&scenario.system_call_faults)
@@ -80,6 +85,7 @@
         gateway: gateway.address,
         log: log.clone(),
         deadline: scenario.deadline,
+        sigterm,
         last_connect: sigterm + scenario.connects_after_sigterm,
         kill,
     };
@@ -135,7 +141,7 @@
         let was_forwarded = attempts.contains_key(id);
         let is_lost = match outcome {
             Outcome::Answered => false,
-            Outcome::ReusedConnectionClosed => was_forwarded,
+            Outcome::ReusedConnectionClosed | Outcome::UnusedConnectionClosed => was_forwarded,
             Outcome::NewConnectionClosed | Outcome::Unanswered => true,
         };
         if is_lost {
--- a/gateway/tests/graceful_shutdown/scenario.rs
+++ b/gateway/tests/graceful_shutdown/scenario.rs
@@ -34,6 +34,8 @@
     /// The number of clients that send one request, stay connected and send another one later. Some of them
     /// connect while the gateway drains.
     pub(crate) idle_clients: usize,
+    /// The number of clients that connect while the gateway drains, and send their first request later.
+    pub(crate) late_clients: usize,
     pub(crate) max_sockets: usize,
     pub(crate) endpoint_count: usize,
     /// The number of endpoints that stop responding at SIGTERM.
@@ -61,11 +63,13 @@
         let connects_after_sigterm = Duration::from_millis(rng.u64(200..400));
         let counter = random_counter_behavior(&mut rng);
         let system_call_faults = random_system_call_faults(&mut rng, seed);
+        let late_clients = rng.usize(0..20);
         Self {
             seed,
             deadline: Duration::from_millis(deadline_ms),
             active_clients,
             idle_clients,
+            late_clients,
             max_sockets: if idle_clients > 0 { 160 } else { 1024 },
             endpoint_count,
             unresponsive_endpoints,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use load_report::set_load_value;
 pub use object::{Object, ReadError};
-pub use settings::{from_str, from_value};
+pub use settings::{from_str, from_value, longest_deadline};
--- a/settings/src/settings.rs
+++ b/settings/src/settings.rs
@@ -73,6 +73,18 @@
     }
 }
 
+/// Returns the longest deadline of a request, over all classes that name one. `None` if no class does.
+///
+/// # Errors
+/// If a value has the wrong type.
+pub fn longest_deadline(root: &Value) -> Result<Option<Millis>, ReadError> {
+    let mut longest = 0.0;
+    for class in Object(root).array("classes")? {
+        longest = f64::max(longest, Object(class).number("hard-limit-ms")?);
+    }
+    Ok((longest > 0.0).then_some(longest))
+}
+
 fn request_class(value: &Value) -> Result<RequestClass, ReadError> {
     let class = Object(value);
     Ok(RequestClass {
--- a/settings/tests/settings.rs
+++ b/settings/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Each key of the settings object sets its field, and an error names the key and the expected value.
 
 use ryefront_policy::{DedupScope, Idempotency, LoadReport, LoadReportSource};
-use ryefront_settings::{from_str, from_value, set_load_value};
+use ryefront_settings::{from_str, from_value, longest_deadline, set_load_value};
 use serde_json::{Value, json};
 
 fn settings() -> Value {
@@ -107,3 +107,18 @@
     let expected = LoadReport { in_flight: Some(4.0), queue_length: Some(2.0), service_time: Some(7.5) };
     assert_eq!(report, expected);
 }
+
+#[test]
+fn longest_deadline_is_that_of_the_classes_that_name_one() {
+    let longest = |limits: Value| {
+        let mut settings = settings();
+        settings["classes"] = limits;
+        longest_deadline(&settings).map_err(|error| error.to_string())
+    };
+
+    assert_eq!(longest(json!([{}, {"hard-limit-ms": 400.0}, {"hard-limit-ms": 800}, {}])), Ok(Some(800.0)));
+    assert_eq!(longest(json!([{"name": "a"}, {"hard-limit-ms": 0}])), Ok(None));
+    assert_eq!(longest(json!([])), Ok(None));
+    let error = longest(json!([{"hard-limit-ms": "short"}]));
+    assert_eq!(error, Err("settings: hard-limit-ms is not a number".to_owned()));
+}
