Let incomplete requests give way before a response waits for memory

Callers of requests in progress saw 502, and others 503, while incomplete requests of bad clients held the memory: a response waited for memory, but nothing gave way until the next read from a client, and a complete request was rejected without asking whether an incomplete one could give way.

The monitor now calls the relief that the server sets before it lets a response wait, and rejects_request relieves first. So memory of incomplete requests is always used up before a complete one is refused or a response waits.

--- a/gateway/src/client/connection.rs
+++ b/gateway/src/client/connection.rs
@@ -1,10 +1,11 @@
 //! Serves one client connection until the client, a timeout, an eviction or the shutdown closes it.
 
 use crate::client::connection_state::ConnectionState;
+use crate::client::overload::MemoryOverload;
 use crate::client::request_head::MAX_HEAD_BYTES;
 use crate::client::response::HttpResponse;
 use crate::client::shutdown::CloseSignal;
-use crate::instrumented_stream::InstrumentedStream;
+use crate::instrumented_stream::{InstrumentedStream, StreamObserver};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -34,9 +35,23 @@
     Evicted,
 }
 
+/// Passes what is read on to the state of the connection, and then lets requests give way if memory is short.
+struct ReadObserver {
+    state: Rc<ConnectionState>,
+    overload: Rc<MemoryOverload>,
+}
+
+impl StreamObserver for ReadObserver {
+    fn on_read(&self, bytes: &[u8]) {
+        self.state.append_to_head(bytes);
+        self.overload.relieve();
+    }
+}
+
 /// Serves one connection, whose requests `handle` responds to. Returns when the connection has ended.
-pub(super) async fn serve<H, R>(state: &Rc<ConnectionState>, mut close_signal: CloseSignal, handle: H)
-where
+pub(super) async fn serve<H, R>(
+    state: &Rc<ConnectionState>, overload: Rc<MemoryOverload>, mut close_signal: CloseSignal, handle: H,
+) where
     H: Fn(Request<Incoming>) -> R,
     R: Future<Output = HttpResponse>,
 {
@@ -45,7 +60,8 @@
         let response = Box::pin(handle(request));
         async { Ok::<_, Infallible>(response.await) }
     });
-    let stream = InstrumentedStream::new(state.socket().clone(), state.clone());
+    let observer = ReadObserver { state: state.clone(), overload };
+    let stream = InstrumentedStream::new(state.socket().clone(), Rc::new(observer));
     let http = http1::Builder::new()
         // `ConnectionState` has a timeout for head and body together instead.
         .header_read_timeout(None)
@@ -132,7 +148,7 @@
     fn graceful_shutdown(self: Pin<&mut Self>);
 }
 
-impl<S> HttpConnection for http1::Connection<TokioIo<InstrumentedStream<ConnectionState>>, S>
+impl<S> HttpConnection for http1::Connection<TokioIo<InstrumentedStream<ReadObserver>>, S>
 where
     S: HttpService<Incoming, ResBody = Full<Bytes>, Error = Infallible>,
 {
--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -1,16 +1,13 @@
 //! The state of one client connection while it is open.
 
 use crate::body::{BodyBuffer, BodyError};
-use crate::client::overload::MemoryOverload;
 use crate::client::request_head::RequestHead;
 use crate::endpoint::MAX_BODY_BYTES;
-use crate::instrumented_stream::StreamObserver;
 use crate::socket::SharedStream;
 use bytes::Bytes;
 use hyper::Request;
 use hyper::body::Incoming;
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
@@ -39,11 +36,10 @@
     /// Whether the connection is to be closed for lack of memory, as its request is incomplete.
     closes_for_memory: Cell<bool>,
     memory_close: Notify,
-    overload: Rc<MemoryOverload>,
 }
 
 impl ConnectionState {
-    pub(super) fn new(socket: SharedStream, overload: Rc<MemoryOverload>) -> Self {
+    pub(super) fn new(socket: SharedStream) -> Self {
         Self {
             socket,
             has_pending_request: Cell::new(false),
@@ -55,7 +51,6 @@
             eviction: Notify::new(),
             closes_for_memory: Cell::new(false),
             memory_close: Notify::new(),
-            overload,
         }
     }
 
@@ -113,9 +108,7 @@
 
     /// Appends received bytes to the body of the request that is being received, as [`BodyBuffer::append`] does.
     pub(super) fn append_to_body(&self, received: &[u8], expected_later: usize) -> Result<(), BodyError> {
-        let appended = self.body.borrow_mut().append(received, expected_later);
-        self.overload.relieve();
-        appended
+        self.body.borrow_mut().append(received, expected_later)
     }
 
     /// Takes the body of the request, now that it is complete. `None` if it was discarded for lack of memory.
@@ -182,9 +175,10 @@
         self.body.replace(BodyBuffer::new(MAX_BODY_BYTES));
     }
 
-    fn append_to_head(&self, bytes: &[u8]) {
+    /// Appends received bytes to the head, as far as they belong to that of the next request.
+    pub(super) fn append_to_head(&self, bytes: &[u8]) {
         let mut head = self.head.borrow_mut();
-        if head.is_complete() {
+        if !self.is_idle() || bytes.is_empty() || head.is_complete() {
             return;
         }
         if head.is_empty() && self.has_responded() {
@@ -217,12 +211,3 @@
         self.eviction.notified().await;
     }
 }
-
-impl StreamObserver for ConnectionState {
-    fn on_read(&self, bytes: &[u8]) {
-        if self.is_idle() && !bytes.is_empty() {
-            self.append_to_head(bytes);
-            self.overload.relieve();
-        }
-    }
-}
--- a/gateway/src/client/handler.rs
+++ b/gateway/src/client/handler.rs
@@ -109,7 +109,7 @@
         {
             return Err(RequestError::AmbiguousLength);
         }
-        let request = self.parser.parse(request, connection).await?;
+        let request = self.parser.parse(request, connection, &self.overload).await?;
         if self.overload.rejects_request() {
             return Err(RequestError::MemoryExceeded);
         }
--- a/gateway/src/client/overload.rs
+++ b/gateway/src/client/overload.rs
@@ -21,11 +21,21 @@
 }
 
 impl MemoryOverload {
-    pub(super) fn new(memory: Rc<MemoryMonitor>, connections: Rc<ConnectionTable>) -> Self {
-        Self { memory, connections }
+    /// Creates the overload protection of a server, which also frees memory for responses.
+    pub(super) fn new(memory: Rc<MemoryMonitor>, connections: Rc<ConnectionTable>) -> Rc<Self> {
+        let overload = Rc::new(Self { memory, connections });
+        let weak = Rc::downgrade(&overload);
+        let relieve = move || {
+            if let Some(overload) = weak.upgrade() {
+                overload.relieve();
+            }
+        };
+        overload.memory.set_relief(Rc::new(relieve));
+        overload
     }
 
-    /// Discards incomplete requests while the memory in use exceeds its limit. Called after each read.
+    /// Discards incomplete requests while the memory in use exceeds its limit. Called after each read from a
+    /// client, and before a response is received.
     pub(super) fn relieve(&self) {
         while self.is_exceeded() {
             let Some(connection) = self.connections.largest_incomplete_request(MIN_DISCARDED_BYTES) else {
@@ -36,8 +46,10 @@
         }
     }
 
-    /// Whether a complete request is to be rejected, as the memory in use exceeds its limit.
+    /// Whether a complete request is to be rejected, as the memory in use exceeds its limit and no incomplete
+    /// request can give way.
     pub(super) fn rejects_request(&self) -> bool {
+        self.relieve();
         let rejects = self.is_exceeded();
         if rejects {
             self.memory.record_rejected();
--- a/gateway/src/client/request.rs
+++ b/gateway/src/client/request.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{BodyError, next_data, remaining_bytes};
 use crate::client::connection_state::ConnectionState;
+use crate::client::overload::MemoryOverload;
 use crate::endpoint::{ForwardedRequest, MAX_BODY_BYTES};
 use crate::headers::{
     CLIENT_RETRY, DEADLINE_MS, IDEMPOTENCY_KEY, PLAN, REQUEST_ID, TENANT, TERMS, TERMS_FIRST_GATEWAY,
@@ -140,7 +141,7 @@
 
     /// Validates the head of a request and reads its body. The request timeout of the connection covers both.
     pub(super) async fn parse(
-        &self, request: Request<Incoming>, connection: &ConnectionState,
+        &self, request: Request<Incoming>, connection: &ConnectionState, overload: &MemoryOverload,
     ) -> Result<ParsedRequest, RequestError> {
         let (head, body) = request.into_parts();
         let mut parsed = self.parse_head(&head)?;
@@ -150,7 +151,7 @@
         if head.method == Method::GET {
             return Err(RequestError::UnexpectedBody);
         }
-        parsed.forwarded.body = read_body(body, connection).await?;
+        parsed.forwarded.body = read_body(body, connection, overload).await?;
         Ok(parsed)
     }
 
@@ -333,12 +334,15 @@
 }
 
 /// Reads the body into the state of the connection, where it is discarded if memory is short.
-async fn read_body(mut body: Incoming, connection: &ConnectionState) -> Result<Bytes, RequestError> {
+async fn read_body(
+    mut body: Incoming, connection: &ConnectionState, overload: &MemoryOverload,
+) -> Result<Bytes, RequestError> {
     if remaining_bytes(&body) > MAX_BODY_BYTES {
         return Err(RequestError::BodyTooLarge);
     }
     while let Some(data) = next_data(&mut body).await? {
         connection.append_to_body(&data, remaining_bytes(&body))?;
+        overload.relieve();
     }
     connection.take_body().ok_or(RequestError::MemoryExceeded)
 }
--- a/gateway/src/client/server.rs
+++ b/gateway/src/client/server.rs
@@ -34,7 +34,7 @@
         schedule: ShutdownSchedule,
     ) -> Rc<Self> {
         let connections = Rc::new(ConnectionTable::new(max_connections));
-        let overload = Rc::new(MemoryOverload::new(memory, connections.clone()));
+        let overload = MemoryOverload::new(memory, connections.clone());
         let shutdown = Rc::new(Shutdown::new(schedule));
         let handler = RequestHandler::new(
             engine.clone(),
@@ -66,13 +66,13 @@
 
     fn serve_connection(self: &Rc<Self>, stream: TcpStream) {
         disable_nagle(&stream);
-        let state = Rc::new(ConnectionState::new(SharedStream::new(stream), self.overload.clone()));
+        let state = Rc::new(ConnectionState::new(SharedStream::new(stream)));
         self.connections.add(state.clone());
         let close_signal = self.shutdown.close_signal();
         let server = self.clone();
         spawn(async move {
             let handle = |request| server.handler.handle(request, &state);
-            connection::serve(&state, close_signal, handle).await;
+            connection::serve(&state, server.overload.clone(), close_signal, handle).await;
             server.connections.remove(&state);
         });
     }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -53,13 +53,8 @@
 
     let memory = Rc::new(MemoryMonitor::new(config.max_memory_bytes, heap_bytes_in_use));
     let connection_limits = ConnectionLimits::new(config.max_descriptors);
-    let endpoints = EndpointRegistry::new(EndpointSettings {
-        connect_timeout: config.connect_timeout,
-        endpoint_idle_timeout: config.endpoint_idle_timeout,
-        load_report_source: config.settings.load_report_source,
-        max_connections: connection_limits.endpoints,
-        memory: memory.clone(),
-    });
+    let endpoint_settings = endpoint_settings(&config, connection_limits.endpoints, memory.clone());
+    let endpoints = EndpointRegistry::new(endpoint_settings);
     let engine = Engine::start(config.settings.clone(), config.seed, endpoints.clone(), config.counter)?;
     let server = Server::new(
         engine.clone(),
@@ -89,6 +84,16 @@
     Ok(())
 }
 
+fn endpoint_settings(config: &Config, max_connections: usize, memory: Rc<MemoryMonitor>) -> EndpointSettings {
+    EndpointSettings {
+        connect_timeout: config.connect_timeout,
+        endpoint_idle_timeout: config.endpoint_idle_timeout,
+        load_report_source: config.settings.load_report_source,
+        max_connections,
+        memory,
+    }
+}
+
 fn heap_bytes_in_use() -> usize {
     ALLOCATOR.allocated()
 }
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -7,6 +7,7 @@
 use crate::log;
 use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -26,10 +27,15 @@
     max_heap_bytes: usize,
     /// The memory reserved for responses that are being received.
     reserved_bytes: Cell<usize>,
+    /// Lets incomplete requests give way while the limit is exceeded.
+    relief: RefCell<Option<Relief>>,
     shed: RefCell<ShedRequests>,
     last_logged_at: Cell<Option<Instant>>,
 }
 
+/// A function that frees memory.
+type Relief = Rc<dyn Fn()>;
+
 /// The requests that gave way since the last log line about them.
 #[derive(Clone, Copy, Debug, Default)]
 struct ShedRequests {
@@ -45,6 +51,7 @@
             heap_bytes_in_use,
             max_heap_bytes: (max_memory_bytes as f64 * HEAP_FRACTION) as usize,
             reserved_bytes: Cell::default(),
+            relief: RefCell::default(),
             shed: RefCell::default(),
             last_logged_at: Cell::default(),
         }
@@ -61,11 +68,25 @@
         in_use.saturating_sub(self.max_heap_bytes)
     }
 
-    /// Reserves memory until the reservation is dropped. While the limit is exceeded, waits for others to free
-    /// memory.
+    /// Sets the function that lets incomplete requests give way while the limit is exceeded.
+    pub(crate) fn set_relief(&self, relief: Rc<dyn Fn()>) {
+        self.relief.replace(Some(relief));
+    }
+
+    fn relieve(&self) {
+        let relief = self.relief.borrow().clone();
+        if let Some(relief) = relief {
+            relief();
+        }
+    }
+
+    /// Reserves memory until the reservation is dropped. While the limit is exceeded, incomplete requests give
+    /// way; if that does not suffice, waits for requests in progress to end.
     pub(crate) async fn reserve(&self, bytes: usize) -> MemoryReservation<'_> {
+        self.relieve();
         while self.excess_bytes() > 0 {
             sleep(RESERVE_RETRY_DELAY).await;
+            self.relieve();
         }
         self.reserved_bytes.set(self.reserved_bytes.get() + bytes);
         MemoryReservation { memory: self, bytes }
