Never close a connection for memory while its request is in progress

A client that pipelines saw its connection closed without an answer although its request had been forwarded, when memory was short.

Cause: the head of a pipelined request that is read together with the request before is not observed, so the bytes of its body are recorded as those of an incomplete head. discardable_bytes did not ask whether a request is in progress, and took that head for a large incomplete request.

A connection with a request in progress has no discardable memory now, and a pending close is withdrawn when its request becomes complete.

--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -103,6 +103,7 @@
 
     /// Records that a complete, valid request was received.
     pub(super) fn record_request(&self) {
+        self.closes_for_memory.set(false);
         self.has_pending_request.set(true);
     }
 
@@ -120,7 +121,7 @@
 
     /// The memory that [`Self::discard_incomplete_request`] would free. None once the request is complete.
     pub(super) fn discardable_bytes(&self) -> usize {
-        if self.closes_for_memory.get() {
+        if self.closes_for_memory.get() || !self.is_idle() {
             return 0;
         }
         let body = self.body.borrow();
--- a/gateway/tests/memory_limit.rs
+++ b/gateway/tests/memory_limit.rs
@@ -5,7 +5,8 @@
 
 use common::{
     Class, ConfigEdit, CounterBehavior, GatewayOptions, GatewayProcess, RequestBuilder, ScriptedResponse,
-    TestClient, TestEndpoint, TestEnvironment, idempotent_request, in_service, sleep_ms, within_timeout,
+    TestClient, TestEndpoint, TestEnvironment, idempotent_request, in_service, sleep_ms, wait_until,
+    within_timeout,
 };
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
@@ -148,16 +149,13 @@
 async fn incomplete_bodies_of_many_clients_keep_the_process_below_its_memory_limit() {
     let endpoint = TestEndpoint::ok("x").await;
     let env = TestEnvironment::start(&options_with_memory_limit(&endpoint), CounterBehavior::Add).await;
-    let send_incomplete_body = async |gateway| {
-        let mut client = TestClient::connect(gateway).await;
-        client.write(&head_with_body(&format!("Content-Length: {MAX_BODY_BYTES}\r\n"))).await;
-        // Fails if the connection was closed in the meantime.
-        let _ = client.stream.write_all(&vec![b'x'; MAX_BODY_BYTES - 1]).await;
+    let expect_close = async |gateway| {
+        let mut client = send_incomplete_body(gateway, MAX_BODY_BYTES).await;
         assert_eq!(status_or_close(&mut client).await, None);
     };
 
     let gateway = env.gateway.address;
-    let bad_clients = (0..300).map(|_| tokio::spawn(send_incomplete_body(gateway))).collect();
+    let bad_clients = (0..300).map(|_| tokio::spawn(expect_close(gateway))).collect();
 
     check_memory_while(&env, bad_clients).await;
     assert!(env.gateway.count_log_lines("memory: ") > 1, "requests that give way are logged");
@@ -170,15 +168,21 @@
     elapsed: Duration,
 }
 
-/// Sends a body of the maximum size without its last byte on each of many connections.
-async fn connections_with_incomplete_bodies(gateway: SocketAddr) -> Vec<TestClient> {
-    let send_incomplete = async |gateway| {
-        let mut client = TestClient::connect(gateway).await;
-        client.write(&head_with_body(&format!("Content-Length: {MAX_BODY_BYTES}\r\n"))).await;
-        let _ = client.stream.write_all(&vec![b'x'; MAX_BODY_BYTES - 1]).await;
-        client
-    };
-    let sending: Vec<_> = (0..200).map(|_| tokio::spawn(send_incomplete(gateway))).collect();
+/// Connects and sends a body of this size without its last byte.
+async fn send_incomplete_body(gateway: SocketAddr, body_bytes: usize) -> TestClient {
+    let mut client = TestClient::connect(gateway).await;
+    client.write(&head_with_body(&format!("Content-Length: {body_bytes}\r\n"))).await;
+    // Fails if the connection was closed in the meantime.
+    let _ = client.stream.write_all(&vec![b'x'; body_bytes - 1]).await;
+    client
+}
+
+/// Sends a body of this size without its last byte on each of as many connections.
+async fn connections_with_incomplete_bodies(
+    gateway: SocketAddr, count: usize, body_bytes: usize,
+) -> Vec<TestClient> {
+    let sending: Vec<_> =
+        (0..count).map(|_| tokio::spawn(send_incomplete_body(gateway, body_bytes))).collect();
     let mut clients = Vec::new();
     for client in sending {
         clients.push(within_timeout("a client", client).await.expect("a client failed"));
@@ -190,7 +194,7 @@
 async fn send_large_requests(gateway: SocketAddr) -> LargeRequests {
     let started_at = Instant::now();
     let mut statuses = Vec::new();
-    for mut client in connections_with_incomplete_bodies(gateway).await {
+    for mut client in connections_with_incomplete_bodies(gateway, 200, MAX_BODY_BYTES).await {
         let _ = client.stream.write_all(b"x").await;
         statuses.push(status_or_close(&mut client).await);
     }
@@ -276,7 +280,7 @@
     loop {
         let env = start_with_endpoints(ScriptedResponse::ok_after(300, &"y".repeat(MAX_BODY_BYTES))).await;
         let started_at = Instant::now();
-        let incomplete = connections_with_incomplete_bodies(env.gateway.address).await;
+        let incomplete = connections_with_incomplete_bodies(env.gateway.address, 200, MAX_BODY_BYTES).await;
 
         let statuses = statuses_of_concurrent_requests(env.gateway.address, 100).await;
 
@@ -288,3 +292,24 @@
         return assert_eq!(statuses, vec![Some(200); 100]);
     }
 }
+
+// Guards against a pipelined request in progress that is closed as if it were incomplete: the bytes of its body
+// are taken for those of a head, as its head was read with the request before.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_request_in_progress_does_not_give_way() {
+    let endpoint =
+        TestEndpoint::start(&[ScriptedResponse::ok("a"), ScriptedResponse::ok_after(1500, "b")]).await;
+    let env = TestEnvironment::start(&options_with_memory_limit(&endpoint), CounterBehavior::Add).await;
+    let mut client = env.gateway.client().await;
+    let body = "y".repeat(MAX_BODY_BYTES / 2);
+    let second_head = head_with_body(&format!("Content-Length: {}\r\n", body.len()));
+    assert_eq!(client.request(&(request_without_quota() + &second_head)).await.body, b"a");
+    client.write(&body).await;
+    wait_until("the second attempt", || endpoint.request_count() == 2).await;
+
+    let incomplete = connections_with_incomplete_bodies(env.gateway.address, 400, 24_000).await;
+    wait_until("requests that give way", || env.gateway.count_log_lines("memory: ") > 1).await;
+
+    assert_eq!(client.read_response().await.body, b"b");
+    drop(incomplete);
+}
