Review case 7: behind 950 half requests, usual requests are answered too late

Cause: with a place of the connection table held for 50 ms by each evicted half request, about 830 connections a second are accepted at 256 descriptors. Usual requests wait about 1 s in the accept queue, and their time is counted from when they have been read. Change: a test as a script.

--- a/review/stand-ins-2/scenarios.rs
+++ b/review/stand-ins-2/scenarios.rs
@@ -1,5 +1,6 @@
 //! The scenario of each case.
 
+mod half_requests;
 mod slow_discovery;
 
 use crate::Verdict;
@@ -8,6 +9,7 @@
 pub fn run(case: &str, trouble: bool, record: &Record) -> Verdict {
     let result = match case {
         "slow-discovery" => slow_discovery::run(trouble, record),
+        "half-requests" => half_requests::run(trouble, record),
         _ => Err(format!("no such case: {case}")),
     };
     result.unwrap_or_else(Verdict::NotRun)
