--- a/review/stand-ins-2/scenarios.rs
+++ b/review/stand-ins-2/scenarios.rs
@@ -1,6 +1,7 @@
 //! The scenario of each case.
 
 mod half_requests;
+mod short_lengths;
 mod slow_discovery;
 
 use crate::Verdict;
@@ -10,6 +11,7 @@
     let result = match case {
         "slow-discovery" => slow_discovery::run(trouble, record),
         "half-requests" => half_requests::run(trouble, record),
+        "short-lengths" => short_lengths::run(trouble, record),
         _ => Err(format!("no such case: {case}")),
     };
     result.unwrap_or_else(Verdict::NotRun)
