--- a/review/stand-ins-2/scenarios.rs
+++ b/review/stand-ins-2/scenarios.rs
@@ -3,6 +3,7 @@
 mod half_requests;
 mod short_lengths;
 mod slow_discovery;
+mod small_units;
 
 use crate::Verdict;
 use crate::record::Record;
@@ -12,6 +13,7 @@
         "slow-discovery" => slow_discovery::run(trouble, record),
         "half-requests" => half_requests::run(trouble, record),
         "short-lengths" => short_lengths::run(trouble, record),
+        "small-units" => small_units::run(trouble, record),
         _ => Err(format!("no such case: {case}")),
     };
     result.unwrap_or_else(Verdict::NotRun)
