--- a/review/stand-ins-2/clients.rs
+++ b/review/stand-ins-2/clients.rs
@@ -66,3 +66,16 @@
     let _ = stream.read(&mut answer);
     Ok(began_at.elapsed())
 }
+
+/// A request with a key and a body.
+pub fn keyed_request(
+    class: &str, plan: &str, id: &str, customer: u64, spread: u32, deadline: Duration, body_bytes: usize,
+) -> String {
+    format!(
+        "POST /{class}/bins HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nApi-Plan: {plan}\r\n\
+         Api-Customer: {customer:016x}\r\nReq-Deadline-Ms: {}\r\nIdempotency-Key: key-{id}\r\n\
+         Api-Terms: units=1,spread={spread},first=0\r\nContent-Length: {body_bytes}\r\n\r\n{}",
+        deadline.as_millis(),
+        "p".repeat(body_bytes)
+    )
+}
--- a/review/stand-ins-2/gateway.rs
+++ b/review/stand-ins-2/gateway.rs
@@ -31,6 +31,7 @@
     pub discovery: SocketAddr,
     pub counter: SocketAddr,
     pub sockets: u32,
+    pub memory_mb: u32,
     pub known: &'a str,
     /// The settings object without its outer braces.
     pub settings: &'a str,
@@ -46,10 +47,10 @@
     /// Starts a gateway and waits until it is ready.
     pub fn start(folder: &Path, options: &Options) -> Result<Self, String> {
         let run = deploy_command("run").ok_or("deploy/balancer.toml has no run command")?;
-        let Options { name, discovery, counter, sockets, known, settings } = options;
+        let Options { name, discovery, counter, sockets, memory_mb, known, settings } = options;
         let config = format!(
             r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"{discovery}","counter":"{counter}",
-"seed":"8c1f30d27a5be9{}","limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+"seed":"8c1f30d27a5be9{}","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
 "known":{known},"settings":{{{settings}}}}}"#,
             name.bytes().fold(17_u32, |sum, byte| (sum * 31 + u32::from(byte)) % 256)
         );
--- a/review/stand-ins-2/scenarios.rs
+++ b/review/stand-ins-2/scenarios.rs
@@ -1,6 +1,7 @@
 //! The scenario of each case.
 
 mod half_requests;
+mod memory_close;
 mod short_lengths;
 mod slow_discovery;
 mod small_units;
@@ -12,6 +13,7 @@
     let result = match case {
         "slow-discovery" => slow_discovery::run(trouble, record),
         "half-requests" => half_requests::run(trouble, record),
+        "memory-close" => memory_close::run(trouble, record),
         "short-lengths" => short_lengths::run(trouble, record),
         "small-units" => small_units::run(trouble, record),
         _ => Err(format!("no such case: {case}")),
--- a/review/stand-ins-2/scenarios/half_requests.rs
+++ b/review/stand-ins-2/scenarios/half_requests.rs
@@ -39,6 +39,7 @@
         discovery: agent.address,
         counter: counter::start().map_err(text)?,
         sockets: 256,
+        memory_mb: 192,
         known: &agent.whole_list(),
         settings: SETTINGS,
     };
--- a/review/stand-ins-2/scenarios/short_lengths.rs
+++ b/review/stand-ins-2/scenarios/short_lengths.rs
@@ -35,6 +35,7 @@
         discovery: agent.address,
         counter: counter::start().map_err(text)?,
         sockets: 512,
+        memory_mb: 192,
         known: &agent.whole_list(),
         settings: &super::kelaniya_settings(2, 0),
     };
--- a/review/stand-ins-2/scenarios/slow_discovery.rs
+++ b/review/stand-ins-2/scenarios/slow_discovery.rs
@@ -48,6 +48,7 @@
             discovery: agent.address,
             counter,
             sockets: 512,
+            memory_mb: 192,
             known: &agent.whole_list(),
             settings: &super::kelaniya_settings(GATEWAYS, number),
         };
