--- a/review/stand-ins-2/scenarios/half_requests.rs
+++ b/review/stand-ins-2/scenarios/half_requests.rs
@@ -26,6 +26,11 @@
 
 pub fn run(trouble: bool, record: &Record) -> Result<Verdict, String> {
     let text = |error: std::io::Error| error.to_string();
+    if accept_queue_limit().is_some_and(|limit| limit < BAD_CLIENTS) {
+        return Err(format!(
+            "net.core.somaxconn is under {BAD_CLIENTS}: the kernel's accept queue is too short"
+        ));
+    }
     let folder = TemporaryFolder::create().map_err(text)?;
     let agent = Agent::start("n0", record).map_err(text)?;
     for number in 0..PICK_SERVERS {
@@ -95,6 +100,11 @@
     Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
+/// The system's limit of an accept queue; `None` if it is not told.
+fn accept_queue_limit() -> Option<usize> {
+    std::fs::read_to_string("/proc/sys/net/core/somaxconn").ok()?.trim().parse().ok()
+}
+
 /// How a usual client's request ended.
 #[derive(Clone, Copy, PartialEq)]
 enum Outcome {
