Fail responses whose length may be too short instead of forwarding them cut off

Cause: a response was taken as complete once the bytes of its length had come. What stood behind them was noticed by the HTTP library, but used only to decide whether the connection is kept.

A response is now valid only if nothing has been received behind it, or what has begins another response (HTTP/1.). Otherwise the attempt fails as with any malformed response: it may have run, so idempotent requests are retried and others get 502. The rest of a body and noise behind a good response look the same, so good responses with noise right behind them now fail too; those with a second response behind them are forwarded as before. Nothing is delayed, as only what has arrived with the end of the response is looked at.

--- a/gateway/src/endpoint/exchange.rs
+++ b/gateway/src/endpoint/exchange.rs
@@ -54,7 +54,10 @@
         }
         let message = request.build(acquired.address).map_err(|_| Outcome::NotSent)?;
         let limits = exchange_limits(request.write_deadline(), endpoints.memory());
-        let result = acquired.connection.exchange(message, limits).await;
+        let mut result = acquired.connection.exchange(message, limits).await;
+        if result.is_ok() && !acquired.connection.confirms_response_end().await {
+            result = Err(ExchangeError::InvalidResponse);
+        }
         endpoints.connections().record_exchange(acquired.idle_time, connection_outcome(&result));
         match result {
             Ok(response) => {
--- a/gateway/src/http_connection/connection.rs
+++ b/gateway/src/http_connection/connection.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use std::future::{Future, poll_fn};
 use std::io;
+use std::mem;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -21,6 +22,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// The beginning of every response.
+const RESPONSE_PREFIX: &[u8] = b"HTTP/1.";
+
 /// The limits of an exchange.
 #[derive(Clone, Debug)]
 pub struct ExchangeLimits {
@@ -53,16 +57,16 @@
         let state = Rc::<ExchangeState>::default();
         let stream = TokioIo::new(InstrumentedStream::new(socket.clone(), state.clone()));
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream);
-        let (sender, driver) =
+        let (sender, connection) =
             handshake.await.map_err(|error| ConnectError::Peer(io::Error::other(error)))?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), socket, state })
+        Ok(Self { sender, driver: Driver::Running(Box::new(connection)), socket, state })
     }
 
     /// Whether an idle connection can be used. Queries the kernel, as the event loop may not have been
     /// notified of a close yet. A connection with unsolicited data to read cannot be used either.
     pub fn is_alive(&self) -> bool {
         let peeked = self.socket.peek();
-        self.driver.is_some() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        self.driver.is_running() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// The socket, which the caller may inspect while an exchange is in progress.
@@ -102,13 +106,27 @@
         let driver = &mut self.driver;
         let sender = &mut self.sender;
         let is_ready = poll_fn(|cx| {
-            poll_driver(driver, cx);
+            driver.poll(cx);
             Poll::Ready(matches!(sender.poll_ready(cx), Poll::Ready(Ok(()))))
         });
-        is_ready.await && self.driver.is_some()
+        is_ready.await && self.driver.is_running()
+    }
+
+    /// Whether nothing that was received contradicts the end of the last response, as given by its length.
+    ///
+    /// Bytes behind a response contradict its end unless they begin another response: if its length is too
+    /// short, they are the rest of its body. Ends a connection that cannot be reused.
+    pub async fn confirms_response_end(&mut self) -> bool {
+        self.is_reusable().await || is_response_end(&self.driver.end())
     }
 }
 
+/// Whether a response ends where it is followed by these bytes: if there are none, or if they begin another
+/// response.
+fn is_response_end(following: &[u8]) -> bool {
+    following.is_empty() || following.starts_with(RESPONSE_PREFIX)
+}
+
 /// Resolves when the response is overdue. Bytes that arrived before the timeout are read first, as they may
 /// complete the response.
 async fn response_overdue(state: &ExchangeState, socket: &SharedStream, timeout: Duration) {
@@ -117,12 +135,41 @@
     state.response_overdue(timeout).await;
 }
 
-/// The HTTP library's future that reads and writes the connection; `None` once it has completed.
-type Driver = Option<Pin<Box<http1::Connection<TokioIo<InstrumentedStream<ExchangeState>>, Full<Bytes>>>>>;
+/// The HTTP library's future that reads and writes the connection.
+type HttpConnection = http1::Connection<TokioIo<InstrumentedStream<ExchangeState>>, Full<Bytes>>;
 
-fn poll_driver(driver: &mut Driver, cx: &mut Context<'_>) {
-    if driver.as_mut().is_some_and(|connection| connection.as_mut().poll(cx).is_ready()) {
-        *driver = None;
+/// Makes progress on the connection while it is polled.
+enum Driver {
+    Running(Box<HttpConnection>),
+    /// The connection has ended.
+    Ended {
+        /// The bytes that were received but belong to no response.
+        unread: Bytes,
+    },
+}
+
+impl Driver {
+    fn is_running(&self) -> bool {
+        matches!(self, Self::Running(_))
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) {
+        if let Self::Running(connection) = self
+            && Pin::new(&mut **connection).poll(cx).is_ready()
+        {
+            self.end();
+        }
+    }
+
+    /// Ends the connection, which fails a request that is still queued. Returns the bytes that were received
+    /// but belong to no response.
+    fn end(&mut self) -> Bytes {
+        let unread = match mem::replace(self, Self::Ended { unread: Bytes::new() }) {
+            Self::Running(connection) => connection.into_parts().read_buf,
+            Self::Ended { unread } => unread,
+        };
+        *self = Self::Ended { unread: unread.clone() };
+        unread
     }
 }
 
@@ -130,7 +177,7 @@
 async fn drive<T>(driver: &mut Driver, future: impl Future<Output = T>) -> T {
     let mut future = pin!(future);
     poll_fn(|cx| {
-        poll_driver(driver, cx);
+        driver.poll(cx);
         future.as_mut().poll(cx)
     })
     .await
--- a/gateway/src/http_connection/error.rs
+++ b/gateway/src/http_connection/error.rs
@@ -14,7 +14,7 @@
     /// The request was written completely, but no response began, apart from complete interim responses.
     #[error("the exchange failed before a response began")]
     NoResponse,
-    /// A response began, but it is malformed, too large or incomplete.
-    #[error("the response is malformed, too large or incomplete")]
+    /// A response began, but it is malformed, too large or incomplete, or its length may be too short.
+    #[error("the response is malformed, too large or incomplete, or its length may be too short")]
     InvalidResponse,
 }
