Reject counter totals whose length does not fit

Callers would see a spent quota admitted once more: a total of 120 with the length 2 was read as 12.

Cause: the RESP2 decoder takes the bytes of a bulk string's length and skips two more, whatever they are. A reply must now end with a line end; otherwise it is malformed, the connection is closed and the call counts as unknown, as the amount may have been added.

Test: total_whose_length_is_wrong_is_unknown, for five lengths. Before the change it failed at the first, $2 with 120: left Total(12.0), right Unknown. The log line is checked with the other invalid replies, where the wait for it timed out before.

--- a/gateway/src/counter/resp.rs
+++ b/gateway/src/counter/resp.rs
@@ -9,6 +9,9 @@
 /// The maximum size of an incomplete reply.
 const MAX_BUFFERED_BYTES: usize = 4096;
 
+/// The end of every reply.
+const LINE_END: &[u8] = b"\r\n";
+
 /// Amounts are rounded to a millionth of a unit.
 const AMOUNT_STEPS_PER_UNIT: f64 = 1e6;
 
@@ -85,6 +88,9 @@
 pub(super) enum ReplyError {
     #[error("malformed reply, expected RESP2: {0}")]
     Malformed(RedisProtocolError),
+    /// The decoder skips the bytes after a bulk string without a check.
+    #[error("malformed reply, expected RESP2: no line end after the length that the reply gives")]
+    WrongLength,
     #[error("a reply of {received} bytes or more, expected {MAX_BUFFERED_BYTES} at most")]
     TooLong { received: usize },
     #[error("a reply was not complete within {limit_ms} ms")]
@@ -117,6 +123,9 @@
         let Some((frame, length)) = decode(&self.bytes).map_err(ReplyError::Malformed)? else {
             return Ok(None);
         };
+        if !self.bytes[..length].ends_with(LINE_END) {
+            return Err(ReplyError::WrongLength);
+        }
         self.bytes.drain(..length);
         Ok(Some(frame))
     }
--- a/gateway/tests/counter.rs
+++ b/gateway/tests/counter.rs
@@ -151,6 +151,20 @@
     }
 }
 
+// Guards against a total that is cut off, 12 for 120, because the counter gave its reply a wrong length: spent
+// quota would be leased again.
+#[tokio::test(flavor = "multi_thread")]
+async fn total_whose_length_is_wrong_is_unknown() {
+    let (add, total) = (CounterBehavior::Add, CounterResult::Total);
+    for reply in ["$2\r\n120\r\n", "$1\r\n120\r\n", "$2\r\n12000\r\n", "$4\r\n120\r\n", "$0\r\n1\r\n"] {
+        let wrong_length = CounterBehavior::AddAndReplyWith(reply);
+
+        let results = call_results(reply, &[add, wrong_length, add]).await;
+
+        assert_eq!(results, [total(1.0), CounterResult::Unknown, total(3.0)], "{reply}");
+    }
+}
+
 /// An invalid counter reply, and the start and end of the log line about it. Between them is the call, whose
 /// key depends on the time.
 struct InvalidReply {
@@ -166,6 +180,11 @@
     let too_long = format!("$9000\r\n{}", "1".repeat(5000)).leak();
     vec![
         reply("#~\r\n", "counter: malformed reply, expected RESP2: ", " (logged once)"),
+        reply(
+            "$1\r\n12\r\n",
+            "counter: malformed reply, expected RESP2: no line end after ",
+            " (logged once)",
+        ),
         unusable("-LOADING\r\n", r#"counter: unusable Error "LOADING" in reply to Increment { key: "#),
         unusable("$3\r\nNaN\r\n", r#"counter: unusable BulkString "NaN" in reply to Increment { key: "#),
         unusable("+PONG\r\n", r#"counter: unusable SimpleString "PONG" in reply to Increment { key: "#),
