Keep the id of a request that may have run taken after its client has left

Callers saw a request run twice: its client closed while an endpoint ran it, and the id came again from another client 50 ms later (20 of 20 for an idempotent class, 20 of 20 for one that may run once only).

Cause: the id was reserved by the task that serves the client. When the client leaves, the task ends and the id is free at once, while the endpoint may go on. It was the same after the gateway's own 502 and 504.

The request and each of its attempts now hold the reservation. When the last of them ends, the id is free unless an attempt may have run whose response did not reach the client. An id whose request was never written, or was declined by the endpoint, is free as before, and so is one whose response was sent.

--- a/gateway/src/client/handler.rs
+++ b/gateway/src/client/handler.rs
@@ -9,12 +9,11 @@
 use crate::client::shutdown::Shutdown;
 use crate::engine::Engine;
 use crate::headers::READINESS_PATH;
+use crate::request_ids::{IdReservation, RequestIds};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use ryefront_policy::Settings;
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 
 /// Handles the requests of all client connections.
@@ -24,8 +23,7 @@
     connections: Rc<ConnectionTable>,
     overload: Rc<MemoryOverload>,
     shutdown: Rc<Shutdown>,
-    /// The IDs of all requests in progress.
-    ids_in_progress: RefCell<HashSet<HeaderValue>>,
+    request_ids: Rc<RequestIds>,
 }
 
 /// Whether a connection stays open for further requests after a response.
@@ -52,7 +50,7 @@
             connections,
             overload,
             shutdown,
-            ids_in_progress: RefCell::default(),
+            request_ids: Rc::default(),
         }
     }
 
@@ -80,18 +78,20 @@
             let response = response::readiness(request.method(), self.shutdown.is_draining());
             return HandledRequest { response, persistence: Persistence::KeepAlive };
         }
-        let ReceivedRequest { request, id_reservation: _id_reservation } =
-            match self.receive(request, connection).await {
-                Ok(received) => received,
-                // Where the next request begins is not certain after an invalid one.
-                Err(error) => {
-                    let response = response::invalid_request(error);
-                    return HandledRequest { response, persistence: Persistence::Close };
-                }
-            };
+        let ReceivedRequest { request, id_reservation } = match self.receive(request, connection).await {
+            Ok(received) => received,
+            // Where the next request begins is not certain after an invalid one.
+            Err(error) => {
+                let response = response::invalid_request(error);
+                return HandledRequest { response, persistence: Persistence::Close };
+            }
+        };
         connection.record_request();
-        match self.respond_while_connected(request, connection).await {
-            Some(response) => HandledRequest { response, persistence: Persistence::KeepAlive },
+        match self.respond_while_connected(request, id_reservation.clone(), connection).await {
+            Some(response) => {
+                id_reservation.record_response();
+                HandledRequest { response, persistence: Persistence::KeepAlive }
+            }
             None => {
                 let response = response::client_disconnected();
                 HandledRequest { response, persistence: Persistence::Close }
@@ -102,7 +102,7 @@
     /// Reads and validates a request, and reserves its ID.
     async fn receive(
         &self, request: Request<Incoming>, connection: &ConnectionState,
-    ) -> Result<ReceivedRequest<'_>, RequestError> {
+    ) -> Result<ReceivedRequest, RequestError> {
         // If the length is ambiguous, another request could be hidden in the body (request smuggling).
         if request.headers().contains_key(TRANSFER_ENCODING)
             && !connection.is_chunked_without_length(&request)
@@ -113,20 +113,10 @@
         if self.overload.rejects_request() {
             return Err(RequestError::MemoryExceeded);
         }
-        let id_reservation = self.reserve_id(request.forwarded.request_id.clone())?;
+        let id_reservation = self.request_ids.reserve(request.forwarded.request_id.as_bytes())?;
         Ok(ReceivedRequest { request, id_reservation })
     }
 
-    /// Reserves an ID until its request has its final response: a second request with the same ID could get
-    /// the response to the first.
-    fn reserve_id(&self, id: HeaderValue) -> Result<IdReservation<'_>, RequestError> {
-        if self.ids_in_progress.borrow_mut().insert(id.clone()) {
-            Ok(IdReservation { ids: &self.ids_in_progress, id })
-        } else {
-            Err(RequestError::IdInProgress)
-        }
-    }
-
     /// Returns the final response, or `None` once the client has disconnected.
     ///
     /// The HTTP library does not detect a disconnect that follows unread bytes after the request, so the
@@ -134,14 +124,14 @@
     /// requests of clients that disconnect at once would delay those of others until each disconnect is
     /// detected.
     async fn respond_while_connected(
-        &self, request: ParsedRequest, connection: &ConnectionState,
+        &self, request: ParsedRequest, id_reservation: IdReservation, connection: &ConnectionState,
     ) -> Option<HttpResponse> {
         let socket = connection.socket();
         let final_response = async {
             if socket.is_closed_by_peer().await {
                 return None;
             }
-            Some(self.responder.respond(request, socket.clone()).await)
+            Some(self.responder.respond(request, id_reservation, socket.clone()).await)
         };
         tokio::select! {
             biased;
@@ -152,19 +142,7 @@
 }
 
 /// A valid request and the reservation of its ID.
-struct ReceivedRequest<'a> {
+struct ReceivedRequest {
     request: ParsedRequest,
-    id_reservation: IdReservation<'a>,
-}
-
-/// Reserves the ID of a request in progress until it is dropped.
-struct IdReservation<'a> {
-    ids: &'a RefCell<HashSet<HeaderValue>>,
-    id: HeaderValue,
-}
-
-impl Drop for IdReservation<'_> {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
+    id_reservation: IdReservation,
 }
--- a/gateway/src/client/request.rs
+++ b/gateway/src/client/request.rs
@@ -8,6 +8,7 @@
     CLIENT_RETRY, DEADLINE_MS, IDEMPOTENCY_KEY, PLAN, REQUEST_ID, TENANT, TERMS, TERMS_FIRST_GATEWAY,
     TERMS_GATEWAYS, TERMS_UNITS,
 };
+use crate::request_ids::TakenId;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
@@ -57,6 +58,9 @@
     /// Another request with this ID has no final response yet.
     #[error("a request with this {REQUEST_ID} is in progress, expected another id")]
     IdInProgress,
+    /// Another request with this ID may have run, and its client did not get the response.
+    #[error("a request with this {REQUEST_ID} may have run, expected another id")]
+    IdMayHaveRun,
     /// The length of the body is ambiguous.
     #[error("invalid transfer-encoding, expected chunked alone and no content-length")]
     AmbiguousLength,
@@ -82,6 +86,15 @@
     }
 }
 
+impl From<TakenId> for RequestError {
+    fn from(reason: TakenId) -> Self {
+        match reason {
+            TakenId::InProgress => Self::IdInProgress,
+            TakenId::MayHaveRun => Self::IdMayHaveRun,
+        }
+    }
+}
+
 impl RequestError {
     pub(super) fn status(self) -> StatusCode {
         match self {
--- a/gateway/src/client/response.rs
+++ b/gateway/src/client/response.rs
@@ -4,6 +4,7 @@
 use crate::client::shutdown::Shutdown;
 use crate::clock::millis;
 use crate::engine::{Engine, FinalResponse, SubmittedRequest};
+use crate::request_ids::IdReservation;
 use crate::socket::SharedStream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -57,9 +58,12 @@
 
     /// Submits a request and returns its response by the client's deadline, even if the engine has no final
     /// response.
-    pub(super) async fn respond(&self, request: ParsedRequest, client: SharedStream) -> HttpResponse {
+    pub(super) async fn respond(
+        &self, request: ParsedRequest, id_reservation: IdReservation, client: SharedStream,
+    ) -> HttpResponse {
         let deadlines = Deadlines::new(request.time_to_deadline);
-        let SubmittedRequest { id, final_response } = self.submit(request, client, &deadlines);
+        let SubmittedRequest { id, final_response } =
+            self.submit(request, id_reservation, client, &deadlines);
         let guard = DisconnectOnDrop { engine: &self.engine, id };
         let response = tokio::select! {
             biased;
@@ -75,7 +79,8 @@
     }
 
     fn submit(
-        &self, request: ParsedRequest, client: SharedStream, deadlines: &Deadlines,
+        &self, request: ParsedRequest, id_reservation: IdReservation, client: SharedStream,
+        deadlines: &Deadlines,
     ) -> SubmittedRequest {
         let ParsedRequest { class, plan, tenant, terms, client_retry, forwarded, .. } = request;
         let time_to_deadline = millis(deadlines.time_for_policy);
@@ -90,7 +95,7 @@
             first_gateway: terms.first_gateway,
             gateways_per_tenant: terms.gateways_per_tenant,
         };
-        self.engine.submit(arrival, forwarded, client, deadlines.policy_deadline)
+        self.engine.submit(arrival, forwarded, id_reservation, client, deadlines.policy_deadline)
     }
 }
 
--- a/gateway/src/endpoint/attempt.rs
+++ b/gateway/src/endpoint/attempt.rs
@@ -12,7 +12,7 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, http};
 use ryefront_policy::{Idempotency, LoadReport, LoadReportSource, Name, Outcome};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -65,11 +65,13 @@
     pub(crate) response: Option<EndpointResponse>,
     /// The load report in the headers of the response.
     pub(crate) load_report: Option<LoadReport>,
+    /// Whether the endpoint may have run the request, or may still be running it.
+    pub(crate) may_have_run: bool,
 }
 
 impl From<Outcome> for AttemptResult {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, response: None, load_report: None }
+        Self { outcome, response: None, load_report: None, may_have_run: outcome.may_have_run() }
     }
 }
 
@@ -80,6 +82,8 @@
     limits: AttemptLimits,
     cancellation: Cancellation,
     client: &'a SharedStream,
+    /// Whether the request may have been written.
+    write_began: Cell<bool>,
 }
 
 impl<'a> Attempt<'a> {
@@ -89,14 +93,15 @@
         endpoint: &'a Name, request: ForwardedRequest, limits: AttemptLimits,
         cancelled: oneshot::Receiver<()>, client: &'a SharedStream,
     ) -> Self {
-        Self { endpoint, request, limits, cancellation: Cancellation(RefCell::new(cancelled)), client }
+        let cancellation = Cancellation(RefCell::new(cancelled));
+        Self { endpoint, request, limits, cancellation, client, write_began: Cell::new(false) }
     }
 
     /// Sends the request and returns the result once the connection is closed or idle again.
     pub(crate) async fn run(self, endpoints: &EndpointRegistry) -> AttemptResult {
         let started_at = Instant::now();
         // Cancellation and timeout drop the exchange, which closes its connection, before there is a result.
-        let result = tokio::select! {
+        let mut result: AttemptResult = tokio::select! {
             biased;
             response = exchange(endpoints, self.endpoint, &self) => match response {
                 Ok(response) => attempt_result(response, endpoints.load_report_source()),
@@ -108,6 +113,7 @@
         if result.outcome == Outcome::TimedOut {
             endpoints.record_timeout(self.endpoint, started_at);
         }
+        result.may_have_run &= self.write_began.get();
         result
     }
 
@@ -144,7 +150,11 @@
         if self.limits.write_deadline.is_some_and(|write_deadline| now >= write_deadline) {
             return Err(Outcome::NotSent);
         }
-        if now < self.limits.deadline { Ok(()) } else { Err(Outcome::TimedOut) }
+        if now >= self.limits.deadline {
+            return Err(Outcome::TimedOut);
+        }
+        self.write_began.set(true);
+        Ok(())
     }
 
     fn build(&self, address: SocketAddr) -> http::Result<Request<Full<Bytes>>> {
@@ -203,5 +213,5 @@
         }
         EndpointResponse { headers, body }
     });
-    AttemptResult { outcome, response, load_report }
+    AttemptResult { outcome, response, load_report, may_have_run: outcome.may_have_run() }
 }
--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -10,6 +10,7 @@
 use crate::endpoint::{Attempt, AttemptResult, EndpointRegistry, ForwardedRequest, check_health};
 use crate::fleet_clock::FleetClockSync;
 use crate::log;
+use crate::request_ids::IdReservation;
 use crate::request_table::{AttemptTimeouts, RequestInProgress, RequestTable, StartedAttempt};
 use crate::socket::SharedStream;
 use crate::task::spawn;
@@ -83,10 +84,10 @@
 
     /// Submits a request from the client connected by this socket. All its attempts end by `deadline`.
     pub(crate) fn submit(
-        &self, arrival: impl FnOnce(RequestId) -> Arrival, request: ForwardedRequest, client: SharedStream,
-        deadline: Instant,
+        &self, arrival: impl FnOnce(RequestId) -> Arrival, request: ForwardedRequest,
+        id_reservation: IdReservation, client: SharedStream, deadline: Instant,
     ) -> SubmittedRequest {
-        let submitted = self.requests.borrow_mut().insert(request, client, deadline);
+        let submitted = self.requests.borrow_mut().insert(request, id_reservation, client, deadline);
         self.post(Event::RequestArrived(arrival(submitted.id)));
         submitted
     }
@@ -174,7 +175,8 @@
         let endpoints = self.endpoints.clone();
         let weak_self = self.weak_self.clone();
         spawn(async move {
-            let StartedAttempt { number, started_at, request, client, limits, cancelled } = started;
+            let StartedAttempt { number, started_at, request, id_reservation, client, limits, cancelled } =
+                started;
             let attempt = Attempt::new(&endpoint, request, limits, cancelled, &client);
             let result = attempt.run(&endpoints).await;
             // Checked before the policy handles the end of the attempt, so that it does not retry for a
@@ -184,6 +186,7 @@
             if client_disconnected {
                 engine.client_disconnected(id);
             }
+            engine.record_execution(id, &id_reservation, &result);
             engine.attempt_ended(id, number, endpoint, millis(started_at.elapsed()), result);
         });
     }
@@ -204,10 +207,20 @@
         }));
     }
 
+    /// Records whether the request may have run, before its ID can be free.
+    fn record_execution(&self, id: RequestId, id_reservation: &IdReservation, result: &AttemptResult) {
+        let is_in_progress = self.requests.borrow().contains(id);
+        if result.response.is_some() && is_in_progress {
+            id_reservation.record_served();
+        } else if result.may_have_run {
+            id_reservation.record_may_have_run();
+        }
+    }
+
     fn attempt_ended(
         &self, id: RequestId, attempt: u32, endpoint: Name, latency: Millis, result: AttemptResult,
     ) {
-        let AttemptResult { outcome, response, load_report } = result;
+        let AttemptResult { outcome, response, load_report, .. } = result;
         self.requests.borrow_mut().remove_attempt(id);
         if let Some(response) = response {
             self.finish(id, |_| FinalResponse::Served(response));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,8 +4,8 @@
 //!
 //! In reading order:
 //!
-//! 1. [`engine`] runs the policy, with `request_table`, the table of requests in progress, and `fleet_clock`,
-//!    the synchronization with the fleet's clock.
+//! 1. [`engine`] runs the policy, with `request_table`, the table of requests in progress, [`request_ids`], the
+//!    IDs that are taken, and `fleet_clock`, the synchronization with the fleet's clock.
 //! 2. [`client`] accepts requests and sends their final responses.
 //! 3. [`endpoint`] forwards attempts and checks the health of endpoints; [`http_connection`] is one
 //!    connection.
@@ -36,6 +36,7 @@
 pub mod log;
 pub mod memory;
 pub mod reload;
+pub mod request_ids;
 mod request_table;
 pub mod signals;
 pub mod socket;
--- a/gateway/src/request_table.rs
+++ b/gateway/src/request_table.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::duration;
 use crate::endpoint::{AttemptLimits, EndpointResponse, ForwardedRequest};
+use crate::request_ids::IdReservation;
 use crate::socket::SharedStream;
 use ryefront_policy::{Millis, Outcome, RequestId};
 use std::collections::HashMap;
@@ -27,6 +28,7 @@
 /// A request without a final response.
 pub(crate) struct RequestInProgress {
     request: ForwardedRequest,
+    id_reservation: IdReservation,
     client: SharedStream,
     deadline: Instant,
     final_response: oneshot::Sender<FinalResponse>,
@@ -87,6 +89,8 @@
     pub(crate) started_at: Instant,
     /// The request to forward.
     pub(crate) request: ForwardedRequest,
+    /// Keeps the ID of the request taken until the attempt has ended.
+    pub(crate) id_reservation: IdReservation,
     /// The socket of the client, to detect that it disconnects.
     pub(crate) client: SharedStream,
     pub(crate) limits: AttemptLimits,
@@ -106,12 +110,14 @@
 impl RequestTable {
     /// Adds a request whose attempts end at `deadline` at the latest.
     pub(crate) fn insert(
-        &mut self, request: ForwardedRequest, client: SharedStream, deadline: Instant,
+        &mut self, request: ForwardedRequest, id_reservation: IdReservation, client: SharedStream,
+        deadline: Instant,
     ) -> SubmittedRequest {
         let (sender, final_response) = oneshot::channel();
         self.last_id += 1;
         let in_progress = RequestInProgress {
             request,
+            id_reservation,
             client,
             deadline,
             final_response: sender,
@@ -159,8 +165,9 @@
             write_deadline: timeouts.write.map(|timeout| started_at + duration(timeout)),
         };
         let request = in_progress.request.clone();
+        let id_reservation = in_progress.id_reservation.clone();
         let client = in_progress.client.clone();
-        Some(StartedAttempt { number, started_at, request, client, limits, cancelled })
+        Some(StartedAttempt { number, started_at, request, id_reservation, client, limits, cancelled })
     }
 
     /// Cancels the attempt with this number, if it is in flight.
--- a/policy/src/event.rs
+++ b/policy/src/event.rs
@@ -160,6 +160,14 @@
     NotSent,
 }
 
+impl Outcome {
+    /// Whether an attempt with this outcome may have run at the endpoint.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
+    }
+}
+
 /// The end of an attempt.
 #[derive(Clone, Debug)]
 pub struct AttemptEnd {
--- a/policy/src/request.rs
+++ b/policy/src/request.rs
@@ -3,7 +3,7 @@
 use crate::endpoint::Endpoint;
 use crate::quota::QuotaRequest;
 use crate::settings::{ClassIndex, PlanIndex};
-use crate::{Arrival, AttemptEnd, Millis, Name, Outcome, RequestId};
+use crate::{Arrival, AttemptEnd, Millis, Name, RequestId};
 use std::collections::BTreeMap;
 
 /// Placeholder for the cell of an endpoint that is no longer known. No endpoint belongs to this cell.
@@ -92,7 +92,7 @@
     /// to, if that is still known.
     pub(crate) fn attempt_ended(&mut self, end: &AttemptEnd, endpoint: Option<&Endpoint>) {
         self.stage = RequestStage::AwaitingEndpoint;
-        if !may_have_run(end.outcome) || self.first_ambiguous_attempt.is_some() {
+        if !end.outcome.may_have_run() || self.first_ambiguous_attempt.is_some() {
             return;
         }
         self.first_ambiguous_attempt = Some(AmbiguousAttempt {
@@ -114,10 +114,5 @@
     }
 }
 
-/// Returns whether an attempt with this outcome may have run at the endpoint.
-fn may_have_run(outcome: Outcome) -> bool {
-    !matches!(outcome, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
-}
-
 /// The requests without a final response, by request ID.
 pub(crate) type RequestTable = BTreeMap<RequestId, Request>;
