Forward nothing for a client whose close may wait behind unread bytes

Callers saw requests forwarded after their clients had closed: with 200 KB or more sent behind a request, its retry began 0.35 s after the close, and a request that waited for an endpoint was forwarded when there was one.

Cause: while a request is in progress nothing is read from its connection. The FIN waits at the client behind bytes that do not fit into the receive buffer, so that neither the kernel nor the event loop knows of it.

Before an attempt is written and after one has failed, a client with more than a quarter of its receive buffer unread now counts as gone too. A peer sends up to half of the buffer ahead, so with less unread its FIN is not held back. Requests that are pipelined within the quarter are served as before.

Test: request_is_not_forwarded_after_its_client_closes_behind_unread_bytes, which failed before with 1 request forwarded, 0 expected.

--- a/gateway/src/engine.rs
+++ b/gateway/src/engine.rs
@@ -181,7 +181,7 @@
             let result = attempt.run(&endpoints).await;
             // Checked before the policy handles the end of the attempt, so that it does not retry for a
             // client that has disconnected.
-            let client_disconnected = result.response.is_none() && client.is_closed_by_peer().await;
+            let client_disconnected = result.response.is_none() && client.may_be_closed_by_peer().await;
             let Some(engine) = weak_self.upgrade() else { return };
             if client_disconnected {
                 engine.client_disconnected(id);
--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -19,6 +19,10 @@
 /// The longest time for which bytes that arrived before a timeout delay it.
 const PENDING_READ_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Unread bytes may hide the end of the stream once they are more than the receive buffer divided by this: the
+/// peer may send about half of the buffer ahead, and what it sends next may not fit into the rest.
+const UNREAD_DIVISOR: usize = 4;
+
 /// Errors for lack of a local resource: file descriptors, local ports or a route. The transient errors of
 /// [`is_transient`] are not among them.
 const LOCAL_RESOURCE_ERRNOS: [i32; 8] = [
@@ -128,6 +132,18 @@
         pin!(self.closed_by_peer()).poll(&mut Context::from_waker(Waker::noop())).is_ready()
     }
 
+    /// Whether the peer may have closed its sending side: [`Self::is_closed_by_peer`], or so many bytes are unread
+    /// that the end of the stream may wait behind them at the peer, which may not send it before they are read.
+    pub async fn may_be_closed_by_peer(&self) -> bool {
+        self.is_closed_by_peer().await || self.may_hide_close()
+    }
+
+    fn may_hide_close(&self) -> bool {
+        let unread = rustix::io::ioctl_fionread(&*self.stream).unwrap_or_default();
+        let capacity = socket2::SockRef::from(&*self.stream).recv_buffer_size().unwrap_or(usize::MAX);
+        unread > (capacity / UNREAD_DIVISOR) as u64
+    }
+
     /// Queries the kernel for the next byte without consuming it: 1 when there is one, 0 at the end of the
     /// stream.
     ///
--- a/gateway/tests/client_disconnect.rs
+++ b/gateway/tests/client_disconnect.rs
@@ -12,7 +12,10 @@
     sleep_ms, terminating, wait_for_connection_attempt, wait_until, within_timeout,
 };
 use ryefront_gateway::socket::SharedStream;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 /// A deadline that no request of these tests reaches.
 const LONG_DEADLINE_MS: u64 = 500_000;
@@ -226,6 +229,33 @@
     assert_eq!((response.status(), endpoint.request_count()), (200, 2));
 }
 
+/// Writes to a gateway that does not read until no more fits into the buffers of both sides.
+async fn fill_connection(client: &mut TestClient) {
+    const NO_PROGRESS: Duration = Duration::from_millis(100);
+    let text = abandoned_request().repeat(100);
+    while timeout(NO_PROGRESS, client.stream.get_mut().write_all(text.as_bytes())).await.is_ok() {}
+}
+
+// Guards against requests that are forwarded long after their client has closed: its FIN waits behind bytes that
+// the gateway does not read while the request is in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_not_forwarded_after_its_client_closes_behind_unread_bytes() {
+    let endpoint = TestEndpoint::ok("x").await;
+    let options = GatewayOptions::with_entries(&[]).with_long_timeouts(LONG_TIMEOUT_MS);
+    let env = TestEnvironment::start(&options, CounterBehavior::Add).await;
+    let mut client = env.gateway.client().await;
+    fill_connection(&mut client).await;
+    env.discovery.wait_until_processed().await;
+    drop(client);
+
+    let added = delta(2, &[in_service("b", endpoint.address)]);
+    env.discovery.publish(added.clone());
+    wait_until_list_received(&env, 2, &added).await;
+
+    assert_next_request_is_served(&env).await;
+    assert_eq!(endpoint.requests_containing(ABANDONED_PATH), 0);
+}
+
 /// Pipelines requests to a suspended gateway and disconnects.
 async fn pipeline_and_disconnect(gateway: &GatewayProcess, kind: DisconnectKind) -> Option<TestClient> {
     let mut client = gateway.client().await;
