Do not eject endpoints for deadlines that no response can meet

Cause: every attempt that times out counted as a failure of its endpoint, and the first ejects it. Whoever sends the request chooses the deadline. Concurrency limit and load shedder disregard failures after a short time; outlier detection did not.

An attempt that timed out sooner than responses of its class take on average no longer counts; before the first response of the class, the least mean of the other classes decides.

Tests: timeouts_of_deadlines_that_are_too_short_eject_no_endpoint and requests_with_deadlines_that_are_too_short_do_not_delay_others.

--- a/gateway/tests/outlier_detection.rs
+++ b/gateway/tests/outlier_detection.rs
@@ -8,6 +8,7 @@
 };
 
 const DEADLINE_MS: u64 = 900;
+const LONG_DEADLINE_MS: u64 = 50_000;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn malformed_responses_from_all_endpoints_eject_none() {
@@ -53,6 +54,33 @@
     assert_eq!(endpoint.request_count(), 5);
 }
 
+// Guards against a client whose requests, one after another on one connection, have all endpoints ejected, so
+// that others get their answers late or never: its deadlines are shorter than any response takes.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_with_deadlines_that_are_too_short_do_not_delay_others() {
+    const WORK_MS: u64 = 50;
+    const ROUNDS: usize = 10;
+    const SHORT_REQUESTS_PER_ROUND: usize = 5;
+    let endpoint = TestEndpoint::responding(ScriptedResponse::ok_after(WORK_MS, "x")).await;
+    // An ejection lasts longer than a request waits for an endpoint.
+    let options = GatewayOptions { slow_start_ms: 60_000, ..GatewayOptions::with_endpoint(endpoint.address) };
+    let env = TestEnvironment::start(&options, CounterBehavior::Add).await;
+    let mut usual_client = env.gateway.client().await;
+    assert_eq!(usual_client.request(&idempotent_request(LONG_DEADLINE_MS)).await.status(), 200);
+    let mut client = env.gateway.client().await;
+
+    for round in 0..ROUNDS {
+        for _ in 0..SHORT_REQUESTS_PER_ROUND {
+            assert_ne!(client.request(&idempotent_request(2)).await.status(), 200);
+        }
+        assert_eq!(
+            usual_client.request(&idempotent_request(LONG_DEADLINE_MS)).await.status(),
+            200,
+            "{round}"
+        );
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn endpoint_that_breaks_every_connection_is_ejected() {
     let endpoint = TestEndpoint::responding(ScriptedResponse::close()).await;
--- a/policy/src/endpoint.rs
+++ b/policy/src/endpoint.rs
@@ -84,12 +84,16 @@
         }
     }
 
-    /// Updates the concurrency limit and outlier detection at the end of an attempt. Returns a change of the
-    /// endpoint's ejection that is to be logged.
-    pub(crate) fn record_attempt_end(
-        &mut self, end: &AttemptEnd, timeliness: Timeliness, now: Millis, slow_start_duration: Millis,
-    ) -> Option<EjectionChange> {
+    /// Adapts the concurrency limit at the end of an attempt.
+    pub(crate) fn adapt_concurrency_limit(&mut self, timeliness: Timeliness) {
         self.concurrency_limit.record_response(timeliness, self.in_flight);
+    }
+
+    /// Updates the outlier detection at the end of an attempt. Returns a change of the endpoint's ejection that is
+    /// to be logged.
+    pub(crate) fn detect_outlier(
+        &mut self, end: &AttemptEnd, now: Millis, slow_start_duration: Millis,
+    ) -> Option<EjectionChange> {
         if end.outcome == Outcome::Served {
             self.outlier_detector.record_success()
         } else {
--- a/policy/src/engine/forwarding.rs
+++ b/policy/src/engine/forwarding.rs
@@ -90,8 +90,11 @@
         let timeliness = self.response_latency.record(class, latency_objective, end.outcome, end.latency);
         let Some(timeliness) = timeliness else { return };
         self.load_shedder.record_response(timeliness);
-        let slow_start_duration = self.settings.slow_start_duration;
-        let ejection_change = endpoint.record_attempt_end(end, timeliness, self.now, slow_start_duration);
+        endpoint.adapt_concurrency_limit(timeliness);
+        if !self.response_latency.is_conclusive(class, end.outcome, end.latency) {
+            return;
+        }
+        let ejection_change = endpoint.detect_outlier(end, self.now, self.settings.slow_start_duration);
         actions.extend(ejection_change.map(|change| Action::Log(change.log_line(name))));
     }
 
--- a/policy/tests/endpoint_table.rs
+++ b/policy/tests/endpoint_table.rs
@@ -82,6 +82,32 @@
     assert!(retried, "the endpoint gets requests again after its ejection");
 }
 
+// Guards against a client that has all endpoints ejected for everybody, with deadlines that no endpoint can meet.
+#[test]
+fn timeouts_of_deadlines_that_are_too_short_eject_no_endpoint() {
+    const USUAL_LATENCY: Millis = 100.0;
+    let mut gateway = TestGateway::new(settings(), &["a1"]);
+    let a1: Name = "a1".into();
+    let mut end_attempt = |id, class, latency, outcome| {
+        gateway.forward_request(id, &format!("c{id}"), "plain", class);
+        gateway.end_attempt_after(latency, id, 0, &a1, outcome)
+    };
+    end_attempt(1, "idempotent", USUAL_LATENCY, Outcome::Served);
+
+    // At first there are responses of the other class only.
+    let mut logs = Vec::new();
+    logs.extend(end_attempt(2, "non_idempotent", 1.0, Outcome::TimedOut));
+    logs.extend(end_attempt(3, "non_idempotent", 1.0, Outcome::TimedOut));
+    end_attempt(4, "non_idempotent", USUAL_LATENCY, Outcome::Served);
+    logs.extend(end_attempt(5, "non_idempotent", 1.0, Outcome::TimedOut));
+    logs.extend(end_attempt(6, "non_idempotent", 1.0, Outcome::TimedOut));
+
+    assert!(!logs.iter().any(|action| matches!(action, Action::Log(_))), "{logs:?}");
+    end_attempt(7, "non_idempotent", USUAL_LATENCY, Outcome::TimedOut);
+    let actions = gateway.request(8, "c7", "plain", "non_idempotent");
+    assert_eq!(forward_count(&actions), 0, "a timeout after the usual latency ejects the endpoint");
+}
+
 #[test]
 fn endpoint_is_ejected_after_three_consecutive_connection_resets() {
     let mut gateway = TestGateway::new(settings(), &["a1"]);
