--- a/policy/src/endpoint.rs
+++ b/policy/src/endpoint.rs
@@ -89,8 +89,8 @@
         self.concurrency_limit.record_response(timeliness, self.in_flight);
     }
 
-    /// Updates the outlier detection at the end of an attempt. Returns a change of the endpoint's ejection that is
-    /// to be logged.
+    /// Updates the outlier detection at the end of an attempt. Returns a change of the endpoint's ejection
+    /// that is to be logged.
     pub(crate) fn detect_outlier(
         &mut self, end: &AttemptEnd, now: Millis, slow_start_duration: Millis,
     ) -> Option<EjectionChange> {
--- a/policy/src/outlier_detection.rs
+++ b/policy/src/outlier_detection.rs
@@ -4,8 +4,8 @@
 //! An ejection lasts at least as long as the failed attempt took, because an endpoint that does not stop
 //! cancelled work still has to finish it, and longer with each consecutive failure.
 //!
-//! An attempt that timed out sooner than responses take on average does not count: its client's deadline was too
-//! short ([`response_latency`](crate::response_latency)).
+//! An attempt that timed out sooner than responses take on average does not count: its client's deadline was
+//! too short ([`response_latency`](crate::response_latency)).
 //!
 //! The first consecutive connection resets do not count, as they say little about the endpoint: idle
 //! connections go stale, and the network resets others. An endpoint that has crashed refuses the next
--- a/policy/src/response_latency.rs
+++ b/policy/src/response_latency.rs
@@ -76,14 +76,14 @@
 
     /// Returns whether the outcome of an attempt that took `latency` says anything about its endpoint.
     ///
-    /// Clients choose their deadlines. An attempt that timed out sooner than responses take on average was given
-    /// too little time, and would have timed out at any endpoint.
+    /// Clients choose their deadlines. An attempt that timed out sooner than responses take on average was
+    /// given too little time, and would have timed out at any endpoint.
     pub(crate) fn is_conclusive(&self, class: ClassIndex, outcome: Outcome, latency: Millis) -> bool {
         outcome != Outcome::TimedOut || latency >= self.expected(class)
     }
 
-    /// Returns the mean latency of a class; before its first response, the least mean of the other classes, or 0
-    /// if there is none.
+    /// Returns the mean latency of a class; before its first response, the least mean of the other classes, or
+    /// 0 if there is none.
     fn expected(&self, class: ClassIndex) -> Millis {
         if self.mean[class] > 0.0 {
             return self.mean[class];
