Limit the tenants whose state is kept, so that new names do not fill the memory

Callers saw 503: while 20 clients sent each request for a new tenant, a gateway with 32 MB rejected 512 of 661 requests of another client, from 1.05 s on, the slowest after 282 ms (release build, 16 s).

Cause: a tenant is kept for two refill periods after its last request, and nothing bounded their number until the heap reached its limit, where all clients' requests give way alike.

The settings of the policy have a limit now. When it is reached, the eighth of the tenants that have had no request for longest are evicted, first those whose usage is reported, never one with a request or a counter call in progress. The gateway derives the limit from limits.memory_mb, an eighth of it at 512 bytes a tenant, 16,384 at most; simulator and fleet model set none.

Tests: idle_tenants_are_evicted_when_there_are_too_many fails without the limit ("an evicted tenant starts with a first block again"), and number_of_tenants_is_limited_by_the_memory.

--- a/fleet/src/gateway_process.rs
+++ b/fleet/src/gateway_process.rs
@@ -19,6 +19,7 @@
     let load = &experiment.load;
     let endpoints = &experiment.endpoints;
     Settings {
+        max_tenants: 0,
         gateway_count,
         gateway_index: index,
         zone: zone_name(zone).into(),
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -29,6 +29,12 @@
 /// The memory limit that is used where the configuration has none, in MB.
 const DEFAULT_MAX_MEMORY_MB: f64 = 192.0;
 const BYTES_PER_MB: f64 = 1e6;
+/// The state of all tenants may use the memory limit divided by this.
+const TENANT_MEMORY_DIVISOR: u64 = 8;
+/// The memory that the state of one tenant uses, rounded up.
+const BYTES_PER_TENANT: u64 = 512;
+/// The most tenants whose state is kept, however much memory there is: all are visited 40 times a second.
+const MAX_TENANTS: usize = 16_384;
 
 /// Why the configuration cannot be loaded.
 #[derive(Debug, thiserror::Error)]
@@ -200,6 +206,8 @@
         if settings.counter_timeout <= 0.0 {
             settings.counter_timeout = millis(DEFAULT_COUNTER_TIMEOUT);
         }
+        let max_memory_bytes = max_memory_bytes(file.limits.max_memory_mb)?;
+        settings.max_tenants = max_tenants(max_memory_bytes);
         let counter = settings.has_counter.then(|| address("counter", file.counter)).transpose()?;
         Ok(Self {
             name: choose(NAME_VARIABLE, Some(file.name)).unwrap_or_default(),
@@ -209,7 +217,7 @@
             counter,
             seed: seed(&file.seed)?,
             max_descriptors: file.limits.max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
-            max_memory_bytes: max_memory_bytes(file.limits.max_memory_mb)?,
+            max_memory_bytes,
             cached_endpoints: cached_endpoints(&file.cached_endpoints)?,
             connect_timeout,
             endpoint_idle_timeout: duration_or(
@@ -244,6 +252,12 @@
     })
 }
 
+/// The most tenants whose state is kept: an eighth of the memory, but no more than are quickly maintained.
+fn max_tenants(max_memory_bytes: u64) -> usize {
+    let tenants = max_memory_bytes / TENANT_MEMORY_DIVISOR / BYTES_PER_TENANT;
+    usize::try_from(tenants).unwrap_or(usize::MAX).clamp(1, MAX_TENANTS)
+}
+
 fn seed(text: &str) -> Result<u64, ParseError> {
     u64::from_str_radix(text, 16).map_err(|_| ParseError::InvalidValue {
         key: "seed",
--- a/gateway/tests/config.rs
+++ b/gateway/tests/config.rs
@@ -58,6 +58,17 @@
     }
 }
 
+#[test]
+fn number_of_tenants_is_limited_by_the_memory() {
+    for (memory_mb, expected) in [(r#""limits":{"memory_mb":32},"#, 7_812), ("", 16_384)] {
+        let text = CONFIG.replacen(r#""seed""#, &format!(r#"{memory_mb}"seed""#), 1);
+
+        let config = Config::parse(&text, |_, file| file).expect("a valid configuration");
+
+        assert_eq!(config.settings.max_tenants, expected, "{memory_mb}");
+    }
+}
+
 #[test]
 fn error_about_an_address_in_a_variable_names_the_variable() {
     let in_variable = |name: &str, file| if name == "NODE_LISTEN" { Some("8080".to_owned()) } else { file };
--- a/policy/src/quota/gate.rs
+++ b/policy/src/quota/gate.rs
@@ -18,11 +18,17 @@
 /// Usage or returned units below this amount are not worth a counter call of their own.
 const MIN_REPORTED_UNITS: f64 = 1.0;
 
+/// When there are too many tenants, the limit divided by this is how many are evicted at once. The time that it
+/// takes is so spread over many new tenants.
+const EVICTION_DIVISOR: usize = 8;
+
 /// The admission gate of one gateway.
 #[derive(Debug)]
 pub(crate) struct QuotaGate {
     plans: Vec<QuotaPlan>,
     tenants: BTreeMap<Name, Tenant>,
+    /// The most tenants to keep; 0 for no limit.
+    max_tenants: usize,
     low_quota: LowQuotaTenants,
     calls: CounterCalls,
     clock: WindowClock,
@@ -35,6 +41,7 @@
         Self {
             plans: settings.plans.iter().map(ceiling::effective_plan).collect(),
             tenants: BTreeMap::new(),
+            max_tenants: settings.max_tenants,
             low_quota: LowQuotaTenants::new(settings.plans.len(), settings.gossip),
             calls: CounterCalls::new(settings),
             clock: WindowClock::new(),
@@ -44,8 +51,11 @@
 
     /// Records a request that arrived, and adds its tenant if it is unknown.
     pub(crate) fn record_arrival(&mut self, request: &QuotaRequest, arrival: &TenantArrival, now: Millis) {
-        let plan = &self.plans[request.plan];
         let is_new = !self.tenants.contains_key(&request.tenant);
+        if is_new && self.max_tenants > 0 && self.tenants.len() >= self.max_tenants {
+            self.evict_tenants((self.max_tenants / EVICTION_DIVISOR).max(1));
+        }
+        let plan = &self.plans[request.plan];
         let tenant = self
             .tenants
             .entry(request.tenant.clone())
@@ -57,6 +67,20 @@
         }
     }
 
+    /// Removes the tenants that have had no request for longest, up to `count`: first those whose usage is
+    /// reported. Clients may send requests under ever new tenants. A tenant that is busy is kept.
+    fn evict_tenants(&mut self, count: usize) {
+        let is_unreported = |tenant: &Tenant| tenant.lease.unreported().abs() >= MIN_REPORTED_UNITS;
+        let idle = self.tenants.iter().filter(|(_, tenant)| !tenant.is_busy());
+        let mut idle: Vec<_> = idle
+            .map(|(name, tenant)| (is_unreported(tenant), tenant.demand.updated_at, name.clone()))
+            .collect();
+        idle.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (_, _, name) in idle.into_iter().take(count) {
+            self.tenants.remove(&name);
+        }
+    }
+
     /// Updates what is known of the fleet's clock.
     pub(crate) fn update_fleet_time(&mut self, time: FleetTime, now: Millis) {
         self.clock.update(time, now);
--- a/policy/src/response_latency.rs
+++ b/policy/src/response_latency.rs
@@ -82,8 +82,8 @@
         outcome != Outcome::TimedOut || latency >= self.expected(class)
     }
 
-    /// Returns the mean latency of a class; before its first response, the least mean of the other classes, or
-    /// 0 if there is none.
+    /// Returns the mean latency of a class; before its first response, the least mean of the other classes,
+    /// or 0 if there is none.
     fn expected(&self, class: ClassIndex) -> Millis {
         if self.mean[class] > 0.0 {
             return self.mean[class];
--- a/policy/src/settings.rs
+++ b/policy/src/settings.rs
@@ -116,6 +116,8 @@
     pub settles_usage: bool,
     /// The most units of one request; 0 for no limit.
     pub max_units: f64,
+    /// The most tenants of which the gateway keeps leases and readings; 0 for no limit.
+    pub max_tenants: usize,
     /// Where load reports come from.
     pub load_report_source: LoadReportSource,
     /// Whether the gateway may send health checks.
--- a/policy/tests/quota_lease.rs
+++ b/policy/tests/quota_lease.rs
@@ -129,6 +129,38 @@
     );
 }
 
+// Guards against memory and time that grow with every new tenant for which a client sends a request.
+#[test]
+fn idle_tenants_are_evicted_when_there_are_too_many() {
+    const MAX_TENANTS: usize = 16;
+    let mut gateway = TestGateway::new(Settings { max_tenants: MAX_TENANTS, ..settings() }, &["a1", "a2"]);
+    let mut id = 0;
+    let mut has_lease = |gateway: &mut TestGateway, tenant: &str| {
+        id += 1;
+        gateway.now += 1.0;
+        let mut actions = gateway.request(id, tenant, "plain", "idempotent");
+        let is_forwarded_at_once = forwarded(&actions).is_some();
+        if let Some(CounterCall { key, amount }) = counter_call(&actions) {
+            actions.extend(gateway.reply_total(key, amount));
+        }
+        let endpoint = forwarded(&actions).expect("request is forwarded").1;
+        gateway.end_attempt(id, 0, &endpoint, Outcome::Served);
+        is_forwarded_at_once
+    };
+
+    assert!(!has_lease(&mut gateway, "first"));
+    assert!(!has_lease(&mut gateway, "active"));
+    for number in 0..3 * MAX_TENANTS {
+        assert!(!has_lease(&mut gateway, &format!("c{number}")));
+        // Every other request, so that its lease lasts.
+        if number % 12 == 0 {
+            assert!(has_lease(&mut gateway, "active"), "{number}");
+        }
+    }
+
+    assert!(!has_lease(&mut gateway, "first"), "an evicted tenant starts with a first block again");
+}
+
 #[test]
 fn request_that_waits_too_long_for_a_block_uses_the_fallback() {
     let mut gateway = TestGateway::new(settings(), &["a1", "a2"]);
--- a/settings/src/settings.rs
+++ b/settings/src/settings.rs
@@ -51,6 +51,8 @@
         overload_factor: rules.number("overload-factor")?,
         overload_window: rules.number("fall-ms")?,
         cross_zone_cost: prices.number("cross-zone")?,
+        // A limit of the host, not of the deployment.
+        max_tenants: 0,
     })
 }
 
