--- a/policy/src/quota/gate.rs
+++ b/policy/src/quota/gate.rs
@@ -18,8 +18,8 @@
 /// Usage or returned units below this amount are not worth a counter call of their own.
 const MIN_REPORTED_UNITS: f64 = 1.0;
 
-/// When there are too many tenants, the limit divided by this is how many are evicted at once. The time that it
-/// takes is so spread over many new tenants.
+/// When there are too many tenants, the limit divided by this is how many are evicted at once, so that the
+/// time of an eviction is spread over many new tenants.
 const EVICTION_DIVISOR: usize = 8;
 
 /// The admission gate of one gateway.
