Do not reuse connections to the process that an endpoint had before its restart

Callers of other deployments saw work go to the wrong process: a new one at the address of one that had gone was taken for it. Here the next request after the endpoint list had told of the new start was sent on a connection to the process before.

Cause: the registry identified the process of an endpoint by its address; idle connections were closed when the address changed, not when born_ms did, and a connection in use went back to the pool.

Address and start time identify the process now. Idle connections are closed when either changes, one in use is not kept, and one that was being established carries no request.

Test: connection_to_an_earlier_process_of_an_endpoint_is_not_reused, with an idle connection and one in use; before: 2 requests on 1 connection, 2 expected.

--- a/gateway/src/endpoint/connections.rs
+++ b/gateway/src/endpoint/connections.rs
@@ -6,7 +6,7 @@
 use crate::endpoint::stale_connections::{ConnectionOutcome, StaleConnectionEstimator};
 use crate::http_connection::Connection;
 use crate::socket::ConnectError;
-use ryefront_policy::{Idempotency, Name};
+use ryefront_policy::{Idempotency, Millis, Name};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,11 +44,20 @@
     }
 }
 
+/// The process of an endpoint, as given by the endpoint list. One that started later is another process, also at
+/// the same address.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct EndpointProcess {
+    pub(super) address: SocketAddr,
+    /// When it started, by the clock of the endpoint list; `None` if unknown.
+    pub(super) started_at: Option<Millis>,
+}
+
 /// A connection in use by one request. Dropping it closes the connection before it frees its slot.
 pub(super) struct AcquiredConnection {
     pub(super) connection: Connection,
-    /// The address that the connection was established to.
-    pub(super) address: SocketAddr,
+    /// The process that the connection was established to.
+    pub(super) process: EndpointProcess,
     /// How long the connection was idle before it was acquired; `None` for a new connection.
     pub(super) idle_time: Option<Duration>,
     slot: ConnectionSlot,
@@ -91,15 +100,15 @@
     /// # Errors
     /// If the limit is reached or no connection is established in time.
     pub(super) async fn acquire(
-        &self, endpoint: &Name, address: SocketAddr, idempotency: Idempotency,
+        &self, endpoint: &Name, process: EndpointProcess, idempotency: Idempotency,
     ) -> Result<AcquiredConnection, AcquireError> {
         let reusable = self.take_reusable(endpoint, idempotency);
         let slot = self.reserve_slot().ok_or(AcquireError::LimitReached)?;
         if let Some(ReusableConnection { connection, idle_time }) = reusable {
-            return Ok(AcquiredConnection { connection, address, idle_time: Some(idle_time), slot });
+            return Ok(AcquiredConnection { connection, process, idle_time: Some(idle_time), slot });
         }
-        let connection = Connection::connect(address, self.connect_timeout).await?;
-        Ok(AcquiredConnection { connection, address, idle_time: None, slot })
+        let connection = Connection::connect(process.address, self.connect_timeout).await?;
+        Ok(AcquiredConnection { connection, process, idle_time: None, slot })
     }
 
     /// Records how an exchange on a connection ended.
--- a/gateway/src/endpoint/exchange.rs
+++ b/gateway/src/endpoint/exchange.rs
@@ -48,11 +48,11 @@
         let mut acquired = acquire(endpoints, endpoint, request.idempotency()).await?;
         request.check_before_write().await?;
         // While the connection was established, an endpoint list may have marked the endpoint as draining,
-        // removed it or moved it to another address.
-        if endpoints.ready_address(endpoint) != Some(acquired.address) {
+        // removed it, moved it to another address or replaced its process.
+        if endpoints.ready_process(endpoint) != Some(acquired.process) {
             return Err(Outcome::NotSent);
         }
-        let message = request.build(acquired.address).map_err(|_| Outcome::NotSent)?;
+        let message = request.build(acquired.process.address).map_err(|_| Outcome::NotSent)?;
         let limits = exchange_limits(request.write_deadline(), endpoints.memory());
         let mut result = acquired.connection.exchange(message, limits).await;
         if result.is_ok() && !acquired.connection.confirms_response_end().await {
@@ -76,8 +76,8 @@
 async fn acquire(
     endpoints: &EndpointRegistry, endpoint: &Name, idempotency: Idempotency,
 ) -> Result<AcquiredConnection, Outcome> {
-    let address = endpoints.ready_address(endpoint).ok_or(Outcome::NotSent)?;
-    let acquired = endpoints.connections().acquire(endpoint, address, idempotency).await;
+    let process = endpoints.ready_process(endpoint).ok_or(Outcome::NotSent)?;
+    let acquired = endpoints.connections().acquire(endpoint, process, idempotency).await;
     acquired.map_err(|error| match error {
         // The endpoint is not at fault and must not be ejected for it.
         AcquireError::LimitReached | AcquireError::Local => Outcome::NotSent,
--- a/gateway/src/endpoint/registry.rs
+++ b/gateway/src/endpoint/registry.rs
@@ -1,13 +1,12 @@
 //! The registry of the endpoints in the endpoint list: their addresses and readiness.
 
 use crate::discovery::{EndpointList, ListedEndpoint};
-use crate::endpoint::connections::{AcquiredConnection, EndpointConnections};
+use crate::endpoint::connections::{AcquiredConnection, EndpointConnections, EndpointProcess};
 use crate::endpoint::settings::EndpointSettings;
 use crate::memory::MemoryMonitor;
 use rustc_hash::FxHashMap;
 use ryefront_policy::{EndpointState, LoadReportSource, Name};
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -17,7 +16,7 @@
 
 /// The state of one endpoint.
 struct Endpoint {
-    address: SocketAddr,
+    process: EndpointProcess,
     is_ready: bool,
     /// When the endpoint last responded; before its first response, when it was first listed.
     last_response_at: Instant,
@@ -48,7 +47,7 @@
     }
 
     /// Applies an endpoint list, and closes the idle connections to endpoints that are draining, were removed
-    /// or have moved to another address. A delta takes time proportional to its length; a snapshot also takes
+    /// have moved to another address or have been started again. A delta takes time proportional to its length; a snapshot also takes
     /// time proportional to the number of endpoints in the registry.
     pub fn apply(&self, list: &EndpointList) {
         let list_number = self.applied_list_count.get() + 1;
@@ -72,7 +71,7 @@
         now: Instant,
     ) {
         let name = &listed.entry.name;
-        let address = listed.address;
+        let process = EndpointProcess { address: listed.address, started_at: listed.entry.started_at };
         if listed.entry.state == EndpointState::Removed {
             endpoints.remove(name);
             self.connections.close_idle(name);
@@ -80,16 +79,16 @@
         }
         let is_ready = listed.entry.state == EndpointState::Ready;
         let endpoint = endpoints.entry(name.clone()).or_insert(Endpoint {
-            address,
+            process,
             is_ready,
             last_response_at: now,
             last_list_number: list_number,
         });
-        if !is_ready || endpoint.address != address {
+        if !is_ready || endpoint.process != process {
             self.connections.close_idle(name);
         }
         endpoint.is_ready = is_ready;
-        endpoint.address = address;
+        endpoint.process = process;
         endpoint.last_list_number = list_number;
     }
 
@@ -103,9 +102,9 @@
         });
     }
 
-    /// The address of an endpoint that may be sent new requests.
-    pub(super) fn ready_address(&self, endpoint: &Name) -> Option<SocketAddr> {
-        self.endpoints.borrow().get(endpoint).filter(|known| known.is_ready).map(|known| known.address)
+    /// The process of an endpoint that may be sent new requests.
+    pub(super) fn ready_process(&self, endpoint: &Name) -> Option<EndpointProcess> {
+        self.endpoints.borrow().get(endpoint).filter(|known| known.is_ready).map(|known| known.process)
     }
 
     pub(super) fn load_report_source(&self) -> LoadReportSource {
@@ -125,7 +124,7 @@
     pub(super) async fn release_after_response(&self, endpoint: &Name, mut acquired: AcquiredConnection) {
         let is_reusable = acquired.connection.is_reusable().await;
         let mut endpoints = self.endpoints.borrow_mut();
-        let known = endpoints.get_mut(endpoint).filter(|known| known.address == acquired.address);
+        let known = endpoints.get_mut(endpoint).filter(|known| known.process == acquired.process);
         let Some(known) = known else { return };
         known.last_response_at = Instant::now();
         if is_reusable && known.is_ready {
--- a/gateway/tests/endpoint_connections.rs
+++ b/gateway/tests/endpoint_connections.rs
@@ -131,6 +131,31 @@
     assert_eq!(other.request_count(), 4);
 }
 
+// Guards against new work for a process that has gone: its connections are taken for those of the process that was
+// started at its address, under the same name.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_to_an_earlier_process_of_an_endpoint_is_not_reused() {
+    let endpoint = TestEndpoint::ok("x").await;
+    let in_use = TestEndpoint::responding(ScriptedResponse::ok_after(400, "x")).await;
+    for endpoint in [endpoint, in_use] {
+        let options = GatewayOptions { slow_start_ms: 1, ..GatewayOptions::with_endpoint(endpoint.address) };
+        let env = TestEnvironment::start(&options, CounterBehavior::Add).await;
+        let mut client = env.gateway.client().await;
+        client.write(&non_idempotent_request(DEADLINE_MS)).await;
+        wait_until("the attempt", || endpoint.request_count() == 1).await;
+
+        let started_again = in_service("b", endpoint.address).replace(r#""born_ms":0"#, r#""born_ms":1000"#);
+        env.discovery.publish(delta(2, &[started_again]));
+        env.discovery.wait_until_processed().await;
+        assert_eq!(client.read_response().await.status(), 200);
+        // A connection is reused only after a minimum idle time.
+        sleep_ms(50).await;
+        assert_eq!(client.request(&non_idempotent_request(DEADLINE_MS)).await.status(), 200);
+
+        assert_eq!((endpoint.request_count(), endpoint.connections_opened()), (2, 2));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn connection_established_as_its_request_times_out_carries_no_request() {
     let backlog = FullBacklog::start().await;
