Keep the results of attempts at an earlier process from the one after it

Callers would see requests rejected by a process that has just started, as it was ejected for an attempt at the process before, and a keyed request run twice: if the new process is in another cell, the retry went there. Found by asking what else outlives a process that is replaced under its name.

Cause: at the end of an attempt the policy looked up state, zone and cell by the endpoint's name.

A request keeps time, zone and cell of its last attempt. If the endpoint has been started again since, the outcome changes nothing about it, and a keyed retry stays in the scope of the process that may have run it. A running process that moves keeps its present cell, as before.

--- a/policy/src/engine/forwarding.rs
+++ b/policy/src/engine/forwarding.rs
@@ -39,7 +39,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let endpoint = self.endpoints.attempt_forwarded(slot);
         self.quota.attempt_forwarded(&request.tenant);
-        request.attempt_forwarded(self.now);
+        request.attempt_forwarded(self.endpoints.get(slot), self.now);
         let dedup_deadline = retry::dedup_deadline(request, &self.settings.classes[request.class]);
         let write_timeout = dedup_deadline.map(|deadline| deadline - MAX_HOST_PAUSE - self.now);
         actions.push(Action::ForwardAttempt { id, endpoint, timeout: None, write_timeout });
@@ -77,15 +77,21 @@
     }
 
     /// Updates the endpoint's load, concurrency limit and outlier detection and the load shedder with the
-    /// outcome of an attempt.
+    /// outcome of an attempt. If the endpoint has started again since, the outcome says nothing about the new
+    /// process.
     pub(super) fn record_attempt_outcome(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
         let name = &end.endpoint;
         let Some(endpoint) = self.endpoints.attempt_ended(name) else { return };
+        let request = self.requests.get(&end.id);
+        let attempt = request.and_then(|request| request.last_attempt.as_ref());
+        if attempt.is_some_and(|attempt| !attempt.was_sent_to(endpoint)) {
+            return;
+        }
         if let Some(report) = end.load_report {
             endpoint.record_load_report(report, self.now);
         }
         // Once the request has been removed, its class and latency objective are unknown.
-        let Some(class) = self.requests.get(&end.id).map(|request| request.class) else { return };
+        let Some(class) = request.map(|request| request.class) else { return };
         let latency_objective = self.settings.classes[class].latency_objective;
         let timeliness = self.response_latency.record(class, latency_objective, end.outcome, end.latency);
         let Some(timeliness) = timeliness else { return };
--- a/policy/src/request.rs
+++ b/policy/src/request.rs
@@ -6,9 +6,6 @@
 use crate::{Arrival, AttemptEnd, Millis, Name, RequestId};
 use std::collections::BTreeMap;
 
-/// Placeholder for the cell of an endpoint that is no longer known. No endpoint belongs to this cell.
-const UNKNOWN_CELL: u64 = u64::MAX;
-
 /// The cost of a request whose number of units is infinite or not a number.
 const DEFAULT_UNITS: f64 = 1.0;
 
@@ -23,17 +20,25 @@
     InFlight,
 }
 
-/// An attempt that was not served but may have run at its endpoint.
+/// An attempt that was forwarded to an endpoint.
 #[derive(Clone, Debug)]
-pub(crate) struct AmbiguousAttempt {
+pub(crate) struct ForwardedAttempt {
     /// When the attempt was forwarded.
     pub(crate) sent_at: Millis,
-    /// The zone of its endpoint, empty if the endpoint is no longer known.
+    /// The zone of the process that it was sent to.
     pub(crate) zone: Name,
-    /// The cell of its endpoint, [`UNKNOWN_CELL`] if the endpoint is no longer known.
+    /// The cell of the process that it was sent to.
     pub(crate) cell: u64,
 }
 
+impl ForwardedAttempt {
+    /// Whether an endpoint is still the process that the attempt was sent to. After a restart it has the same
+    /// name, and mostly the same address.
+    pub(crate) fn was_sent_to(&self, endpoint: &Endpoint) -> bool {
+        endpoint.start.learned_at <= self.sent_at
+    }
+}
+
 /// A request that has not had its final response.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -50,11 +55,11 @@
     pub(crate) wait_until: Millis,
     /// The number of attempts forwarded so far.
     pub(crate) attempts: u32,
-    /// When the last attempt was forwarded.
-    pub(crate) sent_at: Millis,
-    /// The first attempt that may have run. It determines the dedup scope and window of a
+    /// The last attempt.
+    pub(crate) last_attempt: Option<ForwardedAttempt>,
+    /// The first attempt that was not served but may have run. It determines the dedup scope and window of a
     /// keyed request's retries.
-    pub(crate) first_ambiguous_attempt: Option<AmbiguousAttempt>,
+    pub(crate) first_ambiguous_attempt: Option<ForwardedAttempt>,
 }
 
 impl Request {
@@ -71,7 +76,7 @@
             stage: RequestStage::AwaitingQuota,
             wait_until: 0.0,
             attempts: 0,
-            sent_at: 0.0,
+            last_attempt: None,
             first_ambiguous_attempt: None,
         }
     }
@@ -81,10 +86,11 @@
         self.attempts == 0
     }
 
-    /// Records that an attempt is forwarded at time `now`.
-    pub(crate) fn attempt_forwarded(&mut self, now: Millis) {
+    /// Records that an attempt is forwarded to an endpoint at time `now`.
+    pub(crate) fn attempt_forwarded(&mut self, endpoint: &Endpoint, now: Millis) {
         self.stage = RequestStage::InFlight;
-        self.sent_at = now;
+        self.last_attempt =
+            Some(ForwardedAttempt { sent_at: now, zone: endpoint.zone.clone(), cell: endpoint.cell });
         self.attempts += 1;
     }
 
@@ -95,11 +101,13 @@
         if !end.outcome.may_have_run() || self.first_ambiguous_attempt.is_some() {
             return;
         }
-        self.first_ambiguous_attempt = Some(AmbiguousAttempt {
-            sent_at: self.sent_at,
-            zone: endpoint.map_or_else(Name::default, |endpoint| endpoint.zone.clone()),
-            cell: endpoint.map_or(UNKNOWN_CELL, |endpoint| endpoint.cell),
-        });
+        let Some(mut attempt) = self.last_attempt.clone() else { return };
+        // A process that has moved since the attempt has taken its idempotency keys with it.
+        if let Some(endpoint) = endpoint.filter(|endpoint| attempt.was_sent_to(endpoint)) {
+            attempt.zone = endpoint.zone.clone();
+            attempt.cell = endpoint.cell;
+        }
+        self.first_ambiguous_attempt = Some(attempt);
     }
 
     /// Returns the data that the quota gate needs to decide on the request.
--- a/policy/tests/endpoint_table.rs
+++ b/policy/tests/endpoint_table.rs
@@ -108,6 +108,22 @@
     assert_eq!(forward_count(&actions), 0, "a timeout after the usual latency ejects the endpoint");
 }
 
+// Guards against an endpoint that is ejected as soon as it has started again, for an attempt at the process before.
+#[test]
+fn failure_at_the_previous_process_does_not_eject_the_new_one() {
+    const ATTEMPT_LATENCY: Millis = 60_000.0;
+    let mut gateway = TestGateway::new(settings(), &["a1"]);
+    let a1 = gateway.forward_request(1, "c", "plain", "non_idempotent");
+
+    gateway.now += 1.0;
+    gateway.handle(Event::EndpointDelta(vec![endpoint("a1", EndpointState::Ready, Some(gateway.now))]));
+    // Until the end of its slow start.
+    gateway.now += ATTEMPT_LATENCY;
+    gateway.end_attempt_after(ATTEMPT_LATENCY, 1, 0, &a1, Outcome::TimedOut);
+
+    assert_eq!(gateway.forward_request(2, "c2", "plain", "idempotent"), a1);
+}
+
 #[test]
 fn endpoint_is_ejected_after_three_consecutive_connection_resets() {
     let mut gateway = TestGateway::new(settings(), &["a1"]);
--- a/policy/tests/retry.rs
+++ b/policy/tests/retry.rs
@@ -85,6 +85,29 @@
     assert_eq!(first_endpoints.len(), 3, "{first_endpoints:?}");
 }
 
+// Guards against a keyed request that runs twice: its endpoint starts again in another cell while it is in flight,
+// and its retry goes to that cell, which does not know its key.
+#[test]
+fn keyed_retry_stays_in_the_cell_of_the_process_that_may_have_run_it() {
+    let mut gateway = TestGateway::new(settings(), &["a1", "a2", "b1", "b2"]);
+    for id in 1..20 {
+        let first = gateway.forward_request(id, &format!("c{id}"), "plain", "keyed");
+        gateway.now += 1.0;
+        let entry = endpoint(&first, EndpointState::Ready, Some(gateway.now));
+        let original_cell = entry.cell;
+        gateway
+            .handle(Event::EndpointDelta(vec![EndpointEntry { cell: 1 - original_cell, ..entry.clone() }]));
+
+        let actions = gateway.end_attempt(id, 0, &first, Outcome::ConnectionReset);
+
+        let (_, second) = forwarded(&actions).expect("a retry");
+        assert_eq!(endpoint(&second, EndpointState::Ready, None).cell, original_cell, "{first}, {second}");
+        assert_ne!(second, first);
+        gateway.end_attempt(id, 1, &second, Outcome::Served);
+        gateway.handle(Event::EndpointDelta(vec![EndpointEntry { started_at: None, ..entry }]));
+    }
+}
+
 #[test]
 fn attempt_in_flight_is_neither_cancelled_nor_repeated() {
     let mut gateway = TestGateway::new(settings(), &["a1", "a2"]);
