Free heads while their bodies are awaited, and let long ones give way

Callers saw a gateway over its memory limit, where the platform kills it: 600 clients that send a complete head of 14 KB and stop took it to 38,740 KiB of 31,250, and 243 of 246 requests of a usual client got 503 (release build, 32 MB, 1,024 descriptors, 6 s).

Cause: while a body is awaited its head was held three times, as the copy for the check against hidden requests, in the read buffer and by the headers. At the limit only the body of such a request counted, so that none gave way.

The copy is freed once it has been checked, the headers are dropped before the body is read, and an incomplete request counts with its head.

Test: long_heads_without_their_bodies_keep_the_process_below_its_memory_limit; before, the usual client got 503 for 200.

--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -119,17 +119,13 @@
         (!body.is_discarded()).then(|| body.into_bytes())
     }
 
-    /// The memory that [`Self::discard_incomplete_request`] would free. None once the request is complete.
+    /// The memory that an incomplete request holds, and that [`Self::discard_incomplete_request`] frees, called
+    /// twice if need be. None once the request is complete.
     pub(super) fn discardable_bytes(&self) -> usize {
         if self.closes_for_memory.get() || !self.is_idle() {
             return 0;
         }
-        let body = self.body.borrow();
-        if self.head.borrow().is_complete() && !body.is_discarded() {
-            body.held_bytes()
-        } else {
-            self.bytes_freed_by_close()
-        }
+        self.body.borrow().held_bytes() + self.bytes_freed_by_close()
     }
 
     /// The memory that will be free once the connection has been closed for lack of memory.
@@ -137,14 +133,11 @@
         if self.closes_for_memory.get() { self.bytes_freed_by_close() } else { 0 }
     }
 
-    /// The memory of an incomplete head and its copy in the HTTP library, or that of the library's read buffer
-    /// for a discarded body.
+    /// The memory of the head and its copy in the HTTP library, and that of the library's read buffer for a
+    /// discarded body.
     fn bytes_freed_by_close(&self) -> usize {
-        if self.body.borrow().is_discarded() {
-            READ_BUFFER_BYTES
-        } else {
-            2 * self.head.borrow().held_bytes()
-        }
+        let read_buffer = if self.body.borrow().is_discarded() { READ_BUFFER_BYTES } else { 0 };
+        self.head.borrow().held_bytes() + read_buffer
     }
 
     /// Frees the memory of an incomplete request. The first time its body is discarded; the rest of the body
@@ -197,6 +190,11 @@
         self.head.borrow().is_chunked_without_length(request)
     }
 
+    /// Frees the bytes of the received head. Called once its request has been checked, before its body is read.
+    pub(super) fn release_head(&self) {
+        self.head.borrow_mut().release();
+    }
+
     /// Requests that the connection be closed to make room for another.
     pub(super) fn evict(&self) {
         self.evicted.set(true);
--- a/gateway/src/client/handler.rs
+++ b/gateway/src/client/handler.rs
@@ -109,6 +109,7 @@
         {
             return Err(RequestError::AmbiguousLength);
         }
+        connection.release_head();
         let request = self.parser.parse(request, connection, &self.overload).await?;
         if self.overload.rejects_request() {
             return Err(RequestError::MemoryExceeded);
--- a/gateway/src/client/request.rs
+++ b/gateway/src/client/request.rs
@@ -164,6 +164,8 @@
         if head.method == Method::GET {
             return Err(RequestError::UnexpectedBody);
         }
+        // The headers keep the HTTP library's read buffer alive.
+        drop(head);
         parsed.forwarded.body = read_body(body, connection, overload).await?;
         Ok(parsed)
     }
--- a/gateway/src/client/request_head.rs
+++ b/gateway/src/client/request_head.rs
@@ -16,20 +16,31 @@
 #[derive(Debug, Default)]
 pub(super) struct RequestHead {
     bytes: Vec<u8>,
+    /// The length of a complete head whose bytes have been freed, or 0.
+    released_bytes: usize,
 }
 
 impl RequestHead {
+    /// Whether nothing of the head has been received.
     pub(super) fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.bytes.is_empty() && self.released_bytes == 0
     }
 
-    /// The memory that the bytes hold.
+    /// The memory that the bytes and their copy in the HTTP library hold.
     pub(super) fn held_bytes(&self) -> usize {
-        self.bytes.capacity()
+        2 * self.bytes.capacity() + self.released_bytes
     }
 
     pub(super) fn is_complete(&self) -> bool {
-        self.bytes.ends_with(HEAD_END)
+        self.released_bytes > 0 || self.bytes.ends_with(HEAD_END)
+    }
+
+    /// Frees the bytes of a complete head, which is not checked any more.
+    pub(super) fn release(&mut self) {
+        if self.bytes.ends_with(HEAD_END) {
+            self.released_bytes = self.bytes.len();
+            self.bytes = Vec::new();
+        }
     }
 
     /// Appends those of the received bytes that belong to the head.
--- a/gateway/tests/memory_limit.rs
+++ b/gateway/tests/memory_limit.rs
@@ -161,6 +161,29 @@
     assert!(env.gateway.count_log_lines("memory: ") > 1, "requests that give way are logged");
 }
 
+// Guards against a gateway that is killed for memory by requests that stop after a long, complete head: the head
+// was held three times and did not give way, as only bodies were counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_heads_without_their_bodies_keep_the_process_below_its_memory_limit() {
+    const CLIENTS: usize = 600;
+    const FIELD_BYTES: usize = 14_000;
+    let endpoint = TestEndpoint::ok("x").await;
+    let env = TestEnvironment::start(&options_with_memory_limit(&endpoint), CounterBehavior::Add).await;
+    let framing = format!("Content-Length: {MAX_BODY_BYTES}\r\nX-Long: {}\r\n", "y".repeat(FIELD_BYTES));
+    let expect_close = async |gateway, head: String| {
+        let mut client = TestClient::connect(gateway).await;
+        // Fails if the connection was closed in the meantime.
+        let _ = client.stream.write_all(head.as_bytes()).await;
+        assert_eq!(status_or_close(&mut client).await, None);
+    };
+
+    let gateway = env.gateway.address;
+    let bad_clients =
+        (0..CLIENTS).map(|_| tokio::spawn(expect_close(gateway, head_with_body(&framing)))).collect();
+
+    check_memory_while(&env, bad_clients).await;
+}
+
 /// The results of requests whose bodies exceed the memory limit together.
 struct LargeRequests {
     statuses: Vec<Option<u16>>,
