--- a/gateway/src/endpoint/attempt.rs
+++ b/gateway/src/endpoint/attempt.rs
@@ -140,8 +140,8 @@
         self.limits.write_deadline
     }
 
-    /// Checks for a possible disconnect of the client, a cancellation and the deadlines: each may have occurred in the
-    /// iteration of the event loop in which the connection was established.
+    /// Checks for a possible disconnect of the client, a cancellation and the deadlines: each may have occurred
+    /// in the iteration of the event loop in which the connection was established.
     async fn check_before_write(&self) -> Result<(), Outcome> {
         if self.client.may_be_closed_by_peer().await || self.cancellation.is_requested() {
             return Err(Outcome::Cancelled);
--- a/gateway/src/endpoint/registry.rs
+++ b/gateway/src/endpoint/registry.rs
@@ -46,9 +46,9 @@
         })
     }
 
-    /// Applies an endpoint list, and closes the idle connections to endpoints that are draining, were removed
-    /// have moved to another address or have been started again. A delta takes time proportional to its length; a snapshot also takes
-    /// time proportional to the number of endpoints in the registry.
+    /// Applies an endpoint list, and closes the idle connections to endpoints that are draining, were removed,
+    /// have moved to another address or have been started again. A delta takes time proportional to its length;
+    /// a snapshot also takes time proportional to the number of endpoints in the registry.
     pub fn apply(&self, list: &EndpointList) {
         let list_number = self.applied_list_count.get() + 1;
         self.applied_list_count.set(list_number);
