Answer requests that give way at the memory limit instead of resetting them

Cause: at the limit the body of an incomplete request was dropped, and if memory was still short its connection was closed. It always was short: the heap was filled by the HTTP library's buffers, some 30 KB on each of 500 connections.

Change: a request that gives way is answered 503 at once. The HTTP library's connection is dropped with its buffers, the sending side is closed, and what the client still sends is read and dropped until it closes, bounded in time and bytes (RFC 9112, section 9.6). The answer arrives wherever the rest of the request is at that time.

Tests: complete_requests_that_exceed_the_memory_limit_together_are_all_answered fails before (170 and 117 of 1,600 requests unanswered, two runs). Two tests expected incomplete requests of bad clients to be closed without an answer; now they expect that, or 503 and a close that is no reset.

--- a/gateway/src/client/connection.rs
+++ b/gateway/src/client/connection.rs
@@ -1,7 +1,9 @@
 //! Serves one client connection until the client, a timeout, an eviction or the shutdown closes it.
 
 use crate::client::connection_state::ConnectionState;
+use crate::client::lingering_close;
 use crate::client::overload::MemoryOverload;
+use crate::client::request::RequestError;
 use crate::client::request_head::MAX_HEAD_BYTES;
 use crate::client::response::HttpResponse;
 use crate::client::shutdown::CloseSignal;
@@ -46,6 +48,14 @@
         self.state.append_to_head(bytes);
         self.overload.relieve();
     }
+
+    fn on_write(&self, _count: usize) {
+        self.state.record_write();
+    }
+
+    fn on_flush(&self) {
+        self.state.record_flush();
+    }
 }
 
 /// Serves one connection, whose requests `handle` responds to. Returns when the connection has ended.
@@ -62,17 +72,22 @@
     });
     let observer = ReadObserver { state: state.clone(), overload };
     let stream = InstrumentedStream::new(state.socket().clone(), Rc::new(observer));
-    let http = http1::Builder::new()
-        // `ConnectionState` has a timeout for head and body together instead.
-        .header_read_timeout(None)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    let http = pin!(http);
-    tokio::select! {
-        biased;
-        () = serve_and_close(http, state, &mut close_signal) => {}
-        // The request is incomplete, so no response is lost.
-        () = state.closed_for_memory() => {}
+    let is_rejected = {
+        let http = http1::Builder::new()
+            // `ConnectionState` has a timeout for head and body together instead.
+            .header_read_timeout(None)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let http = pin!(http);
+        tokio::select! {
+            biased;
+            () = serve_and_close(http, state, &mut close_signal) => false,
+            () = state.rejected() => true,
+        }
+    };
+    if is_rejected {
+        state.begin_rejection();
+        lingering_close::reject(state, RequestError::MemoryExceeded).await;
     }
 }
 
--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -17,8 +17,19 @@
 /// arrive byte by byte time out as well.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// The size of the HTTP library's read buffer while it receives a body.
-const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// The size of the HTTP library's buffers for reading and writing, at least.
+const LIBRARY_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Whether an incomplete request is rejected for lack of memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rejection {
+    /// It is not rejected.
+    None,
+    /// It is to be rejected once its connection is polled.
+    Pending,
+    /// Its memory and the buffers of the HTTP library have been freed.
+    Begun,
+}
 
 /// The state of one client connection.
 pub(super) struct ConnectionState {
@@ -33,9 +44,10 @@
     /// The body of the request that is being received.
     body: RefCell<BodyBuffer>,
     eviction: Notify,
-    /// Whether the connection is to be closed for lack of memory, as its request is incomplete.
-    closes_for_memory: Cell<bool>,
-    memory_close: Notify,
+    rejection: Cell<Rejection>,
+    rejection_requested: Notify,
+    /// Whether a response, or a part of it, has not been passed to the socket yet.
+    has_unsent_output: Cell<bool>,
 }
 
 impl ConnectionState {
@@ -49,8 +61,9 @@
             head: RefCell::default(),
             body: RefCell::new(BodyBuffer::new(MAX_BODY_BYTES)),
             eviction: Notify::new(),
-            closes_for_memory: Cell::new(false),
-            memory_close: Notify::new(),
+            rejection: Cell::new(Rejection::None),
+            rejection_requested: Notify::new(),
+            has_unsent_output: Cell::new(false),
         }
     }
 
@@ -103,7 +116,7 @@
 
     /// Records that a complete, valid request was received.
     pub(super) fn record_request(&self) {
-        self.closes_for_memory.set(false);
+        self.rejection.set(Rejection::None);
         self.has_pending_request.set(true);
     }
 
@@ -114,56 +127,76 @@
 
     /// Takes the body of the request, now that it is complete. `None` if it was discarded for lack of memory.
     pub(super) fn take_body(&self) -> Option<Bytes> {
-        self.closes_for_memory.set(false);
+        self.rejection.set(Rejection::None);
         let body = self.body.replace(BodyBuffer::new(MAX_BODY_BYTES));
         (!body.is_discarded()).then(|| body.into_bytes())
     }
 
-    /// The memory that an incomplete request holds, and that [`Self::discard_incomplete_request`] frees, called
-    /// twice if need be. None once the request is complete.
-    pub(super) fn discardable_bytes(&self) -> usize {
-        if self.closes_for_memory.get() || !self.is_idle() {
-            return 0;
-        }
-        self.body.borrow().held_bytes() + self.bytes_freed_by_close()
+    /// The memory that an incomplete request holds, apart from the buffers that each connection has. None once
+    /// the request is complete, or is to be rejected.
+    pub(super) fn incomplete_request_bytes(&self) -> usize {
+        let is_incomplete = self.is_idle() && self.rejection.get() == Rejection::None;
+        if is_incomplete { self.request_bytes() } else { 0 }
     }
 
-    /// The memory that will be free once the connection has been closed for lack of memory.
-    pub(super) fn closing_bytes(&self) -> usize {
-        if self.closes_for_memory.get() { self.bytes_freed_by_close() } else { 0 }
+    /// The memory that will be free as soon as the rejection of the request has begun, if it is to be rejected.
+    pub(super) fn bytes_freed_by_rejection(&self) -> usize {
+        let is_pending = self.rejection.get() == Rejection::Pending;
+        if is_pending { self.request_bytes() + LIBRARY_BUFFER_BYTES } else { 0 }
     }
 
-    /// The memory of the head and its copy in the HTTP library, and that of the library's read buffer for a
-    /// discarded body.
-    fn bytes_freed_by_close(&self) -> usize {
-        let read_buffer = if self.body.borrow().is_discarded() { READ_BUFFER_BYTES } else { 0 };
-        self.head.borrow().held_bytes() + read_buffer
+    /// The memory of the body, and of the head and its copy in the HTTP library.
+    fn request_bytes(&self) -> usize {
+        self.body.borrow().held_bytes() + self.head.borrow().held_bytes()
     }
 
-    /// Frees the memory of an incomplete request. The first time its body is discarded; the rest of the body
-    /// is then read and dropped, so that the client gets a response. An incomplete head, or a body that was
-    /// discarded before, ends the connection.
-    pub(super) fn discard_incomplete_request(&self) {
-        let mut body = self.body.borrow_mut();
-        if self.head.borrow().is_complete() && !body.is_discarded() {
-            body.discard();
-        } else {
-            self.closes_for_memory.set(true);
-            self.memory_close.notify_one();
-        }
+    /// Rejects the request for lack of memory, and discards what has been received of its body. The other memory
+    /// of the request is freed when the connection is polled.
+    pub(super) fn reject_incomplete_request(&self) {
+        self.body.borrow_mut().discard();
+        self.rejection.set(Rejection::Pending);
+        self.rejection_requested.notify_one();
     }
 
-    /// Resolves when the connection is to be closed for lack of memory and its request is still incomplete.
-    pub(super) async fn closed_for_memory(&self) {
-        while !self.closes_for_memory.get() {
-            self.memory_close.notified().await;
+    /// Resolves when the request is to be rejected for lack of memory and is still incomplete.
+    pub(super) async fn rejected(&self) {
+        while self.rejection.get() != Rejection::Pending {
+            self.rejection_requested.notified().await;
         }
     }
 
+    /// Whether the request is to be rejected, or its rejection has begun.
+    pub(super) fn is_being_rejected(&self) -> bool {
+        self.rejection.get() != Rejection::None
+    }
+
+    /// Records that the rejection of the request has begun, and frees what is left of its memory. The HTTP
+    /// library's connection has been dropped.
+    pub(super) fn begin_rejection(&self) {
+        self.rejection.set(Rejection::Begun);
+        self.head.take();
+    }
+
+    /// Whether a response, or a part of it, has not been passed to the socket yet.
+    pub(super) fn has_unsent_output(&self) -> bool {
+        self.has_unsent_output.get()
+    }
+
+    /// Records that bytes, but not necessarily all of a response, were passed to the socket.
+    pub(super) fn record_write(&self) {
+        self.has_unsent_output.set(true);
+    }
+
+    /// Records that all output was passed to the socket.
+    pub(super) fn record_flush(&self) {
+        self.has_unsent_output.set(false);
+    }
+
     /// Records that a response is ready.
     pub(super) fn record_response(&self) {
         self.has_pending_request.set(false);
         self.responded.set(true);
+        self.has_unsent_output.set(true);
         self.idle_since.set(Instant::now());
         self.head.take();
         self.body.replace(BodyBuffer::new(MAX_BODY_BYTES));
@@ -180,7 +213,7 @@
         }
         head.append(bytes);
         if head.is_complete() {
-            self.closes_for_memory.set(false);
+            self.rejection.set(Rejection::None);
         }
     }
 
--- a/gateway/src/client/connection_table.rs
+++ b/gateway/src/client/connection_table.rs
@@ -85,11 +85,11 @@
         }
     }
 
-    /// The connection whose incomplete request would free the most memory, if that is at least `min_bytes`.
+    /// The connection whose incomplete request holds the most memory, if that is at least `min_bytes`.
     pub(super) fn largest_incomplete_request(&self, min_bytes: usize) -> Option<Rc<ConnectionState>> {
         let connections = self.connections.borrow();
-        let largest = connections.iter().max_by_key(|connection| connection.discardable_bytes())?;
-        (largest.discardable_bytes() >= min_bytes).then(|| largest.clone())
+        let largest = connections.iter().max_by_key(|connection| connection.incomplete_request_bytes())?;
+        (largest.incomplete_request_bytes() >= min_bytes).then(|| largest.clone())
     }
 
     /// The sum of `bytes` over all connections.
@@ -97,15 +97,21 @@
         self.connections.borrow().iter().map(|connection| bytes(connection)).sum()
     }
 
+    /// Whether a connection is evicted only at the limit on connections.
+    ///
+    /// So are new ones: below the limit, all others may have a request in progress, and the new ones would be the
+    /// only candidates. So are those whose request is being rejected, as the client may not have read the response.
+    fn is_evicted_at_limit_only(connection: &ConnectionState, now: Instant) -> bool {
+        connection.is_being_rejected() || EvictionRank::of(connection, now) == EvictionRank::New
+    }
+
     /// Evicts the idle connection of the lowest rank; among those of the same rank, the one idle for longest.
     fn evict_idle(&self) {
         let connections = self.connections.borrow();
         let now = Instant::now();
-        // New connections are evicted at the limit only: below it, all others may have a request in progress,
-        // and the new ones would be the only candidates.
-        let protects_new = connections.len() < self.max_connections;
+        let is_below_limit = connections.len() < self.max_connections;
         let is_candidate = |connection: &&Rc<ConnectionState>| {
-            let is_protected = protects_new && EvictionRank::of(connection, now) == EvictionRank::New;
+            let is_protected = is_below_limit && Self::is_evicted_at_limit_only(connection, now);
             connection.is_idle() && !connection.is_evicted() && !is_protected
         };
         let candidate = connections
--- a/gateway/src/client/overload.rs
+++ b/gateway/src/client/overload.rs
@@ -1,9 +1,9 @@
 //! What gives way when the memory limit is reached.
 //!
-//! Requests that are not complete yet give way first, those that hold the most before others. A body is
-//! dropped, and the request rejected once the rest of the body has been read. The connection is closed if the
-//! head is incomplete, or if memory is still short after the body was dropped. If that does not suffice,
-//! complete requests are rejected before anything is forwarded. Requests in progress never give way.
+//! Requests that are not complete yet give way first, those that hold the most before others: they are answered
+//! at once, and the rest of what their clients send is dropped (`lingering_close`). A close without a response
+//! would lose a request whose last bytes wait unread in the socket or are on their way. If that does not
+//! suffice, complete requests are rejected before anything is forwarded. Requests in progress never give way.
 
 use crate::client::connection_state::ConnectionState;
 use crate::client::connection_table::ConnectionTable;
@@ -12,7 +12,7 @@
 
 /// Incomplete requests that hold less than this do not give way: there are never enough of them to matter, and
 /// most are those of well-behaved clients.
-const MIN_DISCARDED_BYTES: usize = 4096;
+const MIN_REJECTED_BYTES: usize = 4096;
 
 /// Keeps the memory in use below its limit.
 pub(super) struct MemoryOverload {
@@ -34,15 +34,15 @@
         overload
     }
 
-    /// Discards incomplete requests while the memory in use exceeds its limit. Called after each read from a
+    /// Rejects incomplete requests while the memory in use exceeds its limit. Called after each read from a
     /// client, and before a response is received.
     pub(super) fn relieve(&self) {
         while self.is_exceeded() {
-            let Some(connection) = self.connections.largest_incomplete_request(MIN_DISCARDED_BYTES) else {
+            let Some(connection) = self.connections.largest_incomplete_request(MIN_REJECTED_BYTES) else {
                 return;
             };
-            connection.discard_incomplete_request();
-            self.memory.record_discarded();
+            connection.reject_incomplete_request();
+            self.memory.record_incomplete_rejected();
         }
     }
 
@@ -57,9 +57,9 @@
         rejects
     }
 
-    /// Whether the memory in use exceeds its limit, without that of connections which are about to be closed.
+    /// Whether the memory in use exceeds its limit, without that of requests which are about to be rejected.
     fn is_exceeded(&self) -> bool {
         let excess = self.memory.excess_bytes();
-        excess > 0 && excess > self.connections.total_of(ConnectionState::closing_bytes)
+        excess > 0 && excess > self.connections.total_of(ConnectionState::bytes_freed_by_rejection)
     }
 }
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -39,7 +39,7 @@
 /// The requests that gave way since the last log line about them.
 #[derive(Clone, Copy, Debug, Default)]
 struct ShedRequests {
-    discarded: u64,
+    incomplete_rejected: u64,
     rejected: u64,
 }
 
@@ -92,9 +92,9 @@
         MemoryReservation { memory: self, bytes }
     }
 
-    /// Records that an incomplete request was discarded for lack of memory.
-    pub(crate) fn record_discarded(&self) {
-        self.shed.borrow_mut().discarded += 1;
+    /// Records that an incomplete request was rejected for lack of memory.
+    pub(crate) fn record_incomplete_rejected(&self) {
+        self.shed.borrow_mut().incomplete_rejected += 1;
         self.log_shed_requests();
     }
 
@@ -110,9 +110,9 @@
             return;
         }
         self.last_logged_at.set(Some(Instant::now()));
-        let ShedRequests { discarded, rejected } = self.shed.take();
+        let ShedRequests { incomplete_rejected, rejected } = self.shed.take();
         log::write(format_args!(
-            "memory: {self}; incomplete requests discarded: {discarded}, requests rejected: {rejected}"
+            "memory: {self}; incomplete requests discarded: {incomplete_rejected}, requests rejected: {rejected}"
         ));
     }
 }
