Do not close behind a response that was sent before its request was read

What callers saw: a client whose request was invalid could not write the rest of its body ("broken pipe"), so that one which writes all before it reads missed the 400 or 413 that says why.

Cause: the response is sent before the body is read, and the connection was closed right after it, with bytes unread or on their way; the HTTP library does the same for a head that it cannot read.

Change: after such a response the connection lingers as after one that gives way. At the limit on connections these connections are the first to be closed.

--- a/gateway/src/client/connection.rs
+++ b/gateway/src/client/connection.rs
@@ -24,11 +24,13 @@
 /// How long an evicted connection still accepts a request.
 const EVICTION_GRACE: Duration = Duration::from_millis(50);
 
-/// Whether a request is left that the HTTP library's connection has not responded to.
+/// What is left to do once the HTTP library's connection has been dropped.
 enum ServeResult {
-    /// There is none, or its client gets no response.
+    /// Nothing.
     Ended,
-    /// A part of a request was received. It is to be rejected.
+    /// The last response was sent before its request was received completely, so more of it may arrive.
+    RespondedEarly,
+    /// A part of a request was received and has no response yet. It is to be rejected.
     Incomplete(RequestError),
 }
 
@@ -93,9 +95,16 @@
             () = state.rejected() => ServeResult::Incomplete(RequestError::MemoryExceeded),
         }
     };
-    if let ServeResult::Incomplete(error) = result {
-        state.begin_rejection();
-        lingering_close::reject(state, error).await;
+    match result {
+        ServeResult::Ended => {}
+        ServeResult::RespondedEarly => {
+            state.begin_lingering();
+            lingering_close::linger(state).await;
+        }
+        ServeResult::Incomplete(error) => {
+            state.begin_lingering();
+            lingering_close::reject(state, error).await;
+        }
     }
 }
 
@@ -104,6 +113,7 @@
     mut http: Pin<&mut impl HttpConnection>, state: &ConnectionState, close_signal: &mut CloseSignal,
 ) -> ServeResult {
     match serve_until_close(http.as_mut(), state, close_signal).await {
+        CloseReason::Closed if state.has_responded_early() => ServeResult::RespondedEarly,
         CloseReason::Closed | CloseReason::RequestTimeout => ServeResult::Ended,
         CloseReason::Shutdown => {
             close_for_shutdown(http, state, close_signal).await;
--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -20,15 +20,15 @@
 /// The size of the HTTP library's buffers for reading and writing, at least.
 const LIBRARY_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Whether an incomplete request is rejected for lack of memory.
+/// Whether the connection is being closed although more of a request may arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Rejection {
-    /// It is not rejected.
-    None,
-    /// It is to be rejected once its connection is polled.
-    Pending,
-    /// Its memory and the buffers of the HTTP library have been freed.
-    Begun,
+enum CloseState {
+    /// It is not.
+    Open,
+    /// Its incomplete request is to be rejected for lack of memory once the connection is polled.
+    RejectionPending,
+    /// The HTTP library's connection has been dropped. The client has its response, and has to close.
+    Lingering,
 }
 
 /// The state of one client connection.
@@ -39,12 +39,13 @@
     /// The latest of the accept, the last response and the first byte of the request after that response.
     idle_since: Cell<Instant>,
     responded: Cell<bool>,
+    responded_early: Cell<bool>,
     evicted: Cell<bool>,
     head: RefCell<RequestHead>,
     /// The body of the request that is being received.
     body: RefCell<BodyBuffer>,
     eviction: Notify,
-    rejection: Cell<Rejection>,
+    close_state: Cell<CloseState>,
     rejection_requested: Notify,
     /// Whether a response, or a part of it, has not been passed to the socket yet.
     has_unsent_output: Cell<bool>,
@@ -57,11 +58,12 @@
             has_pending_request: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             responded: Cell::new(false),
+            responded_early: Cell::new(false),
             evicted: Cell::new(false),
             head: RefCell::default(),
             body: RefCell::new(BodyBuffer::new(MAX_BODY_BYTES)),
             eviction: Notify::new(),
-            rejection: Cell::new(Rejection::None),
+            close_state: Cell::new(CloseState::Open),
             rejection_requested: Notify::new(),
             has_unsent_output: Cell::new(false),
         }
@@ -116,7 +118,7 @@
 
     /// Records that a complete, valid request was received.
     pub(super) fn record_request(&self) {
-        self.rejection.set(Rejection::None);
+        self.close_state.set(CloseState::Open);
         self.has_pending_request.set(true);
     }
 
@@ -127,7 +129,7 @@
 
     /// Takes the body of the request, now that it is complete. `None` if it was discarded for lack of memory.
     pub(super) fn take_body(&self) -> Option<Bytes> {
-        self.rejection.set(Rejection::None);
+        self.close_state.set(CloseState::Open);
         let body = self.body.replace(BodyBuffer::new(MAX_BODY_BYTES));
         (!body.is_discarded()).then(|| body.into_bytes())
     }
@@ -135,13 +137,13 @@
     /// The memory that an incomplete request holds, apart from the buffers that each connection has. None once
     /// the request is complete, or is to be rejected.
     pub(super) fn incomplete_request_bytes(&self) -> usize {
-        let is_incomplete = self.is_idle() && self.rejection.get() == Rejection::None;
+        let is_incomplete = self.is_idle() && self.close_state.get() == CloseState::Open;
         if is_incomplete { self.request_bytes() } else { 0 }
     }
 
-    /// The memory that will be free as soon as the rejection of the request has begun, if it is to be rejected.
+    /// The memory that will be free as soon as the connection is polled, if its request is to be rejected.
     pub(super) fn bytes_freed_by_rejection(&self) -> usize {
-        let is_pending = self.rejection.get() == Rejection::Pending;
+        let is_pending = self.close_state.get() == CloseState::RejectionPending;
         if is_pending { self.request_bytes() + LIBRARY_BUFFER_BYTES } else { 0 }
     }
 
@@ -154,26 +156,26 @@
     /// of the request is freed when the connection is polled.
     pub(super) fn reject_incomplete_request(&self) {
         self.body.borrow_mut().discard();
-        self.rejection.set(Rejection::Pending);
+        self.close_state.set(CloseState::RejectionPending);
         self.rejection_requested.notify_one();
     }
 
     /// Resolves when the request is to be rejected for lack of memory and is still incomplete.
     pub(super) async fn rejected(&self) {
-        while self.rejection.get() != Rejection::Pending {
+        while self.close_state.get() != CloseState::RejectionPending {
             self.rejection_requested.notified().await;
         }
     }
 
-    /// Whether the request is to be rejected, or its rejection has begun.
-    pub(super) fn is_being_rejected(&self) -> bool {
-        self.rejection.get() != Rejection::None
+    /// Whether the connection is being closed although more of a request may arrive.
+    pub(super) fn is_closing(&self) -> bool {
+        self.close_state.get() != CloseState::Open
     }
 
-    /// Records that the rejection of the request has begun, and frees what is left of its memory. The HTTP
-    /// library's connection has been dropped. From now on the connection may be evicted, again if need be.
-    pub(super) fn begin_rejection(&self) {
-        self.rejection.set(Rejection::Begun);
+    /// Records that the HTTP library's connection has been dropped while more of a request may arrive, and frees
+    /// what is left of its memory. From now on the connection may be evicted, again if need be.
+    pub(super) fn begin_lingering(&self) {
+        self.close_state.set(CloseState::Lingering);
         self.evicted.set(false);
         self.head.take();
         self.body.borrow_mut().discard();
@@ -194,6 +196,19 @@
         self.has_unsent_output.set(false);
     }
 
+    /// Whether the last response was sent before its request was received completely.
+    ///
+    /// The HTTP library itself responds to a head that it cannot read, and leaves the rest unread.
+    pub(super) fn has_responded_early(&self) -> bool {
+        let has_unreadable_head = self.is_idle() && !self.head.borrow().is_empty();
+        self.responded_early.get() || has_unreadable_head
+    }
+
+    /// Records that the response which is ready was made before the body of its request was received.
+    pub(super) fn record_early_response(&self) {
+        self.responded_early.set(true);
+    }
+
     /// Records that a response is ready.
     pub(super) fn record_response(&self) {
         self.has_pending_request.set(false);
@@ -215,7 +230,7 @@
         }
         head.append(bytes);
         if head.is_complete() {
-            self.rejection.set(Rejection::None);
+            self.close_state.set(CloseState::Open);
         }
     }
 
--- a/gateway/src/client/connection_table.rs
+++ b/gateway/src/client/connection_table.rs
@@ -20,8 +20,8 @@
 /// The order in which idle connections are evicted, lowest rank first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionRank {
-    /// Its incomplete request was answered, and it waits for its client to close.
-    Rejected,
+    /// It has sent its last response, and waits for its client to close.
+    Lingering,
     /// No longer new, and has never had a complete request.
     NeverRequested,
     /// Has had a response and has no request in progress.
@@ -32,8 +32,8 @@
 
 impl EvictionRank {
     fn of(connection: &ConnectionState, now: Instant) -> Self {
-        if connection.is_being_rejected() {
-            Self::Rejected
+        if connection.is_closing() {
+            Self::Lingering
         } else if connection.has_responded() {
             Self::IdleAfterResponse
         } else if now.duration_since(connection.idle_since()) < NEW_CONNECTION_AGE {
@@ -104,9 +104,9 @@
     /// Whether a connection is evicted only at the limit on connections.
     ///
     /// So are new ones: below the limit, all others may have a request in progress, and the new ones would be the
-    /// only candidates. So are those whose request is being rejected, as the client may not have read the response.
+    /// only candidates. So are those that wait for their clients to close, which may not have read the response.
     fn is_evicted_at_limit_only(connection: &ConnectionState, now: Instant) -> bool {
-        matches!(EvictionRank::of(connection, now), EvictionRank::Rejected | EvictionRank::New)
+        matches!(EvictionRank::of(connection, now), EvictionRank::Lingering | EvictionRank::New)
     }
 
     /// Evicts the idle connection of the lowest rank; among those of the same rank, the one idle for longest.
--- a/gateway/src/client/handler.rs
+++ b/gateway/src/client/handler.rs
@@ -11,7 +11,7 @@
 use crate::headers::READINESS_PATH;
 use crate::request_ids::{IdReservation, RequestIds};
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use ryefront_policy::Settings;
 use std::rc::Rc;
@@ -78,10 +78,14 @@
             let response = response::readiness(request.method(), self.shutdown.is_draining());
             return HandledRequest { response, persistence: Persistence::KeepAlive };
         }
+        let has_body = !request.body().is_end_stream();
         let ReceivedRequest { request, id_reservation } = match self.receive(request, connection).await {
             Ok(received) => received,
             // Where the next request begins is not certain after an invalid one.
             Err(error) => {
+                if has_body {
+                    connection.record_early_response();
+                }
                 let response = response::invalid_request(error);
                 return HandledRequest { response, persistence: Persistence::Close };
             }
--- a/gateway/src/client/lingering_close.rs
+++ b/gateway/src/client/lingering_close.rs
@@ -32,14 +32,25 @@
         return;
     }
     let mut socket = connection.socket().clone();
-    let responded = async {
+    let respond_and_close = async {
         if socket.write_all(response_with_close(error).as_bytes()).await.is_ok() {
             drop_until_closed_by_peer(&mut socket).await;
         }
     };
+    within_limits(connection, respond_and_close).await;
+}
+
+/// Closes a connection after a response that was sent before its request was received completely.
+pub(super) async fn linger(connection: &ConnectionState) {
+    let mut socket = connection.socket().clone();
+    within_limits(connection, drop_until_closed_by_peer(&mut socket)).await;
+}
+
+/// Runs `close` until the time for the request is over, or the connection is evicted.
+async fn within_limits(connection: &ConnectionState, close: impl Future<Output = ()>) {
     tokio::select! {
         biased;
-        () = responded => {}
+        () = close => {}
         () = connection.request_timed_out() => {}
         () = evicted_after_grace(connection) => {}
     }
