Keep the HTTP library's read buffers at 8 KiB, so that bodies find memory

Cause: connections alone filled the heap. One that receives a body held 38 KB besides the body, 24 of them the library's read buffer, which grows for good after a read that fills it.

Change: a read is one byte shorter than the initial buffer at most.

Test: connections_that_receive_bodies_fit_the_memory_limit_without_their_bodies. The bound is half of 32 MB for the 545 clients that 1,024 descriptors leave; before, 38,152 bytes each of 29,357.

--- a/gateway/src/instrumented_stream.rs
+++ b/gateway/src/instrumented_stream.rs
@@ -10,6 +10,10 @@
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// The bytes read at once. One less than the HTTP library's read buffer: a read that fills it makes the library use
+/// three times as much memory for the rest of the connection's life.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// Observes the reads, writes and flushes of a stream.
 pub(crate) trait StreamObserver {
     /// Called with the bytes of each read; they are empty at the end of the stream.
@@ -39,9 +43,13 @@
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled_before = buf.filled().len();
-        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
-        self.observer.on_read(&buf.filled()[filled_before..]);
+        let max_bytes = buf.remaining().min(MAX_READ_BYTES);
+        let mut limited = ReadBuf::new(buf.initialize_unfilled_to(max_bytes));
+        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut limited))?;
+        let received = limited.filled();
+        self.observer.on_read(received);
+        let count = received.len();
+        buf.advance(count);
         Poll::Ready(Ok(()))
     }
 }
--- a/gateway/tests/memory_limit.rs
+++ b/gateway/tests/memory_limit.rs
@@ -232,6 +232,62 @@
     LargeRequests { statuses, elapsed: started_at.elapsed() }
 }
 
+/// The heap in use, as the gateway logs it, in bytes.
+async fn heap_bytes_in_use(gateway: &GatewayProcess) -> u64 {
+    let lines_before = gateway.count_log_lines("memory: ");
+    gateway.send_sighup();
+    wait_until("the memory in use", || gateway.count_log_lines("memory: ") > lines_before).await;
+    let lines = gateway.log_lines("memory: ");
+    let figure = lines.last().and_then(|line| line.split(' ').nth(1)?.parse::<u64>().ok());
+    figure.expect("the form `memory: <n> of <limit> KiB`") * BYTES_PER_KIB
+}
+
+/// The heap in use once two readings in a row are the same.
+async fn settled_heap_bytes(gateway: &GatewayProcess) -> u64 {
+    let mut previous = heap_bytes_in_use(gateway).await;
+    loop {
+        sleep_ms(100).await;
+        let current = heap_bytes_in_use(gateway).await;
+        if current == previous {
+            return current;
+        }
+        previous = current;
+    }
+}
+
+// Guards against a heap that is filled by connections alone, with hardly a body in it: the HTTP library's read buffer
+// grew to 24 KiB after a read that filled it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_receive_bodies_fit_the_memory_limit_without_their_bodies() {
+    /// With 1,024 descriptors, the most that a deployment with the smallest memory limit has.
+    const MAX_CLIENT_CONNECTIONS: u64 = 545;
+    /// Half of the memory limit may be heap.
+    const MAX_HEAP_BYTES: u64 = MEMORY_LIMIT_MB * BYTES_PER_MB / 2;
+    const CLIENTS: u64 = 100;
+    const BODY_BYTES: u64 = 20_000;
+    loop {
+        let env = TestEnvironment::with_endpoints(&[]).await;
+        let before = settled_heap_bytes(&env.gateway).await;
+        let started_at = Instant::now();
+        let gateway = env.gateway.address;
+        let clients =
+            connections_with_incomplete_bodies(gateway, CLIENTS as usize, BODY_BYTES as usize).await;
+
+        let after = settled_heap_bytes(&env.gateway).await;
+
+        // On a slow machine the request timeout may have ended some. Such a run is inconclusive and is repeated.
+        if started_at.elapsed() >= REQUEST_TIMEOUT {
+            continue;
+        }
+        drop(clients);
+        let bytes_of_each = (after - before) / CLIENTS - BODY_BYTES;
+        return assert!(
+            bytes_of_each * MAX_CLIENT_CONNECTIONS <= MAX_HEAP_BYTES,
+            "{bytes_of_each} bytes of each"
+        );
+    }
+}
+
 // Guards against a request that is closed without an answer when its body gives way: its client may have sent
 // all of it.
 #[tokio::test(flavor = "multi_thread")]
