Leave a part of the heap to the responses of requests in progress

Cause: a response is received once the heap is below its limit, and requests filled it up to the same limit. What one request freed the next one took, until the response was given up after 250 ms.

Change: requests give way at 15/16 of the heap's limit.

--- a/gateway/src/client/overload.rs
+++ b/gateway/src/client/overload.rs
@@ -34,8 +34,8 @@
         overload
     }
 
-    /// Rejects incomplete requests while the memory in use exceeds its limit. Called after each read from a
-    /// client, and before a response is received.
+    /// Rejects incomplete requests while the memory in use exceeds what requests may fill. Called after each read
+    /// from a client, and before a response is received.
     pub(super) fn relieve(&self) {
         while self.is_exceeded() {
             let Some(connection) = self.connections.largest_incomplete_request(MIN_REJECTED_BYTES) else {
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Whether a complete request is to be rejected, as the memory in use exceeds its limit and no incomplete
-    /// request can give way.
+    /// Whether a complete request is to be rejected, as the memory in use exceeds what requests may fill and no
+    /// incomplete request can give way.
     pub(super) fn rejects_request(&self) -> bool {
         self.relieve();
         let rejects = self.is_exceeded();
@@ -57,9 +57,9 @@
         rejects
     }
 
-    /// Whether the memory in use exceeds its limit, without that of requests which are about to be rejected.
+    /// Whether the memory in use exceeds what requests may fill, without that of requests which are about to be rejected.
     fn is_exceeded(&self) -> bool {
-        let excess = self.memory.excess_bytes();
+        let excess = self.memory.excess_bytes_of_requests();
         excess > 0 && excess > self.connections.total_of(ConnectionState::bytes_freed_by_rejection)
     }
 }
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -14,6 +14,9 @@
 /// The fraction of the memory limit that the heap may use before requests give way. The rest is for the code
 /// of the program, the fragmentation of the heap, and the responses to requests in progress.
 const HEAP_FRACTION: f64 = 0.5;
+/// The fraction of this heap that requests leave to the responses of requests in progress. Otherwise new requests
+/// take what those that end have freed, and a response that finds no memory in time fails.
+const RESPONSE_FRACTION: f64 = 1.0 / 16.0;
 /// The shortest interval between two log lines about requests that gave way.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval between checks whether memory can be reserved.
@@ -25,9 +28,11 @@
 pub struct MemoryMonitor {
     heap_bytes_in_use: fn() -> usize,
     max_heap_bytes: usize,
+    /// The heap in use from which requests give way.
+    max_heap_bytes_for_requests: usize,
     /// The memory reserved for responses that are being received.
     reserved_bytes: Cell<usize>,
-    /// Lets incomplete requests give way while the limit is exceeded.
+    /// Lets incomplete requests give way while requests fill more than they may.
     relief: RefCell<Option<Relief>>,
     shed: RefCell<ShedRequests>,
     last_logged_at: Cell<Option<Instant>>,
@@ -47,9 +52,11 @@
     /// Monitors a process that may use `max_memory_bytes`; `heap_bytes_in_use` returns the bytes that it has
     /// allocated.
     pub fn new(max_memory_bytes: u64, heap_bytes_in_use: fn() -> usize) -> Self {
+        let max_heap_bytes = max_memory_bytes as f64 * HEAP_FRACTION;
         Self {
             heap_bytes_in_use,
-            max_heap_bytes: (max_memory_bytes as f64 * HEAP_FRACTION) as usize,
+            max_heap_bytes: max_heap_bytes as usize,
+            max_heap_bytes_for_requests: (max_heap_bytes * (1.0 - RESPONSE_FRACTION)) as usize,
             reserved_bytes: Cell::default(),
             relief: RefCell::default(),
             shed: RefCell::default(),
@@ -62,13 +69,22 @@
         Self::new(u64::MAX, || 0)
     }
 
-    /// By how many bytes the heap and the reservations exceed the limit.
-    pub(crate) fn excess_bytes(&self) -> usize {
-        let in_use = (self.heap_bytes_in_use)() + self.reserved_bytes.get();
-        in_use.saturating_sub(self.max_heap_bytes)
+    /// By how many bytes the heap and the reservations exceed what requests may fill.
+    pub fn excess_bytes_of_requests(&self) -> usize {
+        self.bytes_in_use().saturating_sub(self.max_heap_bytes_for_requests)
     }
 
-    /// Sets the function that lets incomplete requests give way while the limit is exceeded.
+    /// Whether the heap and the reservations exceed the limit.
+    fn is_exceeded(&self) -> bool {
+        self.bytes_in_use() > self.max_heap_bytes
+    }
+
+    /// The heap in use and the reservations.
+    fn bytes_in_use(&self) -> usize {
+        (self.heap_bytes_in_use)() + self.reserved_bytes.get()
+    }
+
+    /// Sets the function that lets incomplete requests give way while requests fill more than they may.
     pub(crate) fn set_relief(&self, relief: Rc<dyn Fn()>) {
         self.relief.replace(Some(relief));
     }
@@ -80,11 +96,11 @@
         }
     }
 
-    /// Reserves memory until the reservation is dropped. While the limit is exceeded, incomplete requests give
-    /// way; if that does not suffice, waits for requests in progress to end.
+    /// Reserves memory for a response until the reservation is dropped. Incomplete requests give way while requests
+    /// fill more than they may; if the limit is exceeded nevertheless, waits for requests in progress to end.
     pub(crate) async fn reserve(&self, bytes: usize) -> MemoryReservation<'_> {
         self.relieve();
-        while self.excess_bytes() > 0 {
+        while self.is_exceeded() {
             sleep(RESERVE_RETRY_DELAY).await;
             self.relieve();
         }
