Do not close behind an early response while draining or evicting either

What callers saw: a client whose request was invalid could not write the rest of its body ("broken pipe") if the gateway was draining, or had chosen its connection for eviction.

Change: one check at the end of all paths but the time limit of a request, which sends no response. The two constants for the grace of an eviction are one.

--- a/gateway/src/client/connection.rs
+++ b/gateway/src/client/connection.rs
@@ -1,7 +1,7 @@
 //! Serves one client connection until the client, a timeout, an eviction or the shutdown closes it.
 
 use crate::client::connection_state::ConnectionState;
-use crate::client::lingering_close;
+use crate::client::lingering_close::{self, EVICTION_GRACE};
 use crate::client::overload::MemoryOverload;
 use crate::client::request::RequestError;
 use crate::client::request_head::MAX_HEAD_BYTES;
@@ -18,12 +18,8 @@
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::time::{timeout, timeout_at};
 
-/// How long an evicted connection still accepts a request.
-const EVICTION_GRACE: Duration = Duration::from_millis(50);
-
 /// What is left to do once the HTTP library's connection has been dropped.
 enum ServeResult {
     /// Nothing.
@@ -113,14 +109,16 @@
     mut http: Pin<&mut impl HttpConnection>, state: &ConnectionState, close_signal: &mut CloseSignal,
 ) -> ServeResult {
     match serve_until_close(http.as_mut(), state, close_signal).await {
-        CloseReason::Closed if state.has_responded_early() => ServeResult::RespondedEarly,
-        CloseReason::Closed | CloseReason::RequestTimeout => ServeResult::Ended,
-        CloseReason::Shutdown => {
-            close_for_shutdown(http, state, close_signal).await;
-            ServeResult::Ended
+        CloseReason::Closed => {}
+        CloseReason::RequestTimeout => return ServeResult::Ended,
+        CloseReason::Shutdown => close_for_shutdown(http, state, close_signal).await,
+        CloseReason::Evicted => {
+            if !close_evicted(http, state).await {
+                return ServeResult::Incomplete(RequestError::Evicted);
+            }
         }
-        CloseReason::Evicted => close_evicted(http, state).await,
     }
+    if state.has_responded_early() { ServeResult::RespondedEarly } else { ServeResult::Ended }
 }
 
 /// Serves requests until the connection has ended or is to be closed.
@@ -156,20 +154,21 @@
     }
 }
 
-/// Closes an evicted connection; if a request has arrived on it in the meantime, after the response.
-async fn close_evicted(mut http: Pin<&mut impl HttpConnection>, state: &ConnectionState) -> ServeResult {
+/// Closes an evicted connection; if a request has arrived on it in the meantime, after the response. Returns false
+/// if a request is incomplete and the connection still open.
+async fn close_evicted(mut http: Pin<&mut impl HttpConnection>, state: &ConnectionState) -> bool {
     if !read_pending_bytes(http.as_mut(), state).await {
-        return ServeResult::Ended;
+        return true;
     }
     http.as_mut().graceful_shutdown();
     if timeout(EVICTION_GRACE, http.as_mut()).await.is_ok() {
-        return ServeResult::Ended;
+        return true;
     }
     if state.is_idle() {
-        return ServeResult::Incomplete(RequestError::Evicted);
+        return false;
     }
     let _ = http.await;
-    ServeResult::Ended
+    true
 }
 
 /// Reads the bytes that have already arrived on a connection that is to be closed: closing it with unread
--- a/gateway/src/client/lingering_close.rs
+++ b/gateway/src/client/lingering_close.rs
@@ -21,9 +21,8 @@
 /// The bytes that are dropped at most. The rest of a valid request is shorter, even if each byte of its body is
 /// a chunk of its own.
 const MAX_DROPPED_BYTES: usize = 512 * 1024;
-
-/// How long an evicted connection still waits for its client to close.
-const EVICTION_GRACE: Duration = Duration::from_millis(50);
+/// How long an evicted connection still accepts a request, and then waits for its client to close.
+pub(super) const EVICTION_GRACE: Duration = Duration::from_millis(50);
 
 /// Responds to a request that has not been received completely, and closes the connection.
 pub(super) async fn reject(connection: &ConnectionState, error: RequestError) {
--- a/gateway/tests/client_requests.rs
+++ b/gateway/tests/client_requests.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{
-    Class, ConfigEdit, CounterBehavior, GatewayOptions, GatewayProcess, READINESS_REQUEST, RequestBuilder,
-    ScriptedResponse, TestEndpoint, TestEnvironment, idempotent_request, non_idempotent_request, sleep_ms,
-    wait_until, within_timeout,
+    Class, ConfigEdit, CounterBehavior, GatewayOptions, READINESS_REQUEST, RequestBuilder, ScriptedResponse,
+    TestEndpoint, TestEnvironment, idempotent_request, non_idempotent_request, sleep_ms, wait_until,
+    within_timeout,
 };
 use tokio::io::AsyncWriteExt;
 
@@ -235,24 +235,6 @@
     assert_eq!(endpoint.request_count(), 1);
 }
 
-/// Writes a request in parts, all but the first after the response has arrived, and reads the response.
-async fn status_of_request_completed_after_its_response(
-    gateway: &GatewayProcess, first_part: &str, later_part: &str,
-) -> u16 {
-    const LATER_PARTS: usize = 4;
-    const PAUSE_BETWEEN_PARTS_MS: u64 = 20;
-    let mut client = gateway.client().await;
-    client.write(first_part).await;
-    within_timeout("the response", client.stream.get_ref().readable()).await.expect("connection failed");
-    for _ in 0..LATER_PARTS {
-        client.write(later_part).await;
-        sleep_ms(PAUSE_BETWEEN_PARTS_MS).await;
-    }
-    let status = client.read_response().await.status();
-    client.expect_clean_close().await;
-    status
-}
-
 // Guards against a client that cannot write its request and misses the response, as the gateway closed the connection
 // before it had received the body of an invalid request, or what follows a head that cannot be read.
 #[tokio::test(flavor = "multi_thread")]
@@ -264,11 +246,10 @@
     let too_large = with_body.replace("Content-Length: 50000", "Content-Length: 70000") + &"y".repeat(30_000);
     let unreadable_head = "GET / HTTP/1.1\r\nno colon\r\n\r\n".to_owned();
 
-    for (status, first) in [(400, unknown_class), (413, too_large), (400, unreadable_head)] {
-        assert_eq!(
-            status_of_request_completed_after_its_response(&env.gateway, &first, &later_part).await,
-            status
-        );
+    for (status, first_part) in [(400, unknown_class), (413, too_large), (400, unreadable_head)] {
+        let mut client = env.gateway.client().await;
+        client.write(&first_part).await;
+        assert_eq!(client.status_before_later_parts(&later_part).await, status);
     }
 }
 
--- a/gateway/tests/common/clients.rs
+++ b/gateway/tests/common/clients.rs
@@ -1,6 +1,6 @@
 //! Builds requests and sends them to the gateway over client connections.
 
-use super::{HttpMessage, read_message, within_timeout};
+use super::{HttpMessage, read_message, sleep_ms, within_timeout};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering::SeqCst};
 use std::time::Duration;
@@ -146,6 +146,21 @@
         assert_eq!(rest, b"");
     }
 
+    /// Waits for a response, writes later parts of the request, and reads the response. Panics if a part cannot be
+    /// written or the connection is reset.
+    pub(crate) async fn status_before_later_parts(&mut self, later_part: &str) -> u16 {
+        const LATER_PARTS: usize = 4;
+        const PAUSE_BETWEEN_PARTS_MS: u64 = 20;
+        within_timeout("a response", self.stream.get_ref().readable()).await.expect("connection failed");
+        for _ in 0..LATER_PARTS {
+            self.write(later_part).await;
+            sleep_ms(PAUSE_BETWEEN_PARTS_MS).await;
+        }
+        let status = self.read_response().await.status();
+        self.expect_clean_close().await;
+        status
+    }
+
     /// Checks for [`IDLE_CHECK`] that the gateway neither sends data on the connection nor closes it.
     pub(crate) async fn expect_idle(&mut self) {
         let event = tokio::time::timeout(IDLE_CHECK, self.stream.fill_buf()).await;
--- a/gateway/tests/shutdown_sequence.rs
+++ b/gateway/tests/shutdown_sequence.rs
@@ -99,6 +99,27 @@
     env.gateway.expect_clean_exit().await;
 }
 
+// Guards against a client that cannot write its request and misses the response, as the draining gateway closed its
+// connection before it had received the body of an invalid request.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_to_an_invalid_request_is_not_followed_by_a_reset_while_the_gateway_drains() {
+    let env = TestEnvironment::with_endpoints(&[]).await;
+    let part_of_body = "y".repeat(10_000);
+    let request = non_idempotent_request(DEADLINE_MS).replace("/order/", "/unknown/");
+    let request = request.replace("Content-Length: 1", "Content-Length: 60000") + &part_of_body;
+    let (first_part, second_part) = request.split_at(30);
+    let mut idle = env.gateway.client().await;
+    assert_eq!(idle.request(READINESS_REQUEST).await.status(), 200);
+    let mut client = env.gateway.client().await;
+    client.write(first_part).await;
+
+    env.gateway.send_sigterm();
+    idle.expect_close().await;
+    client.write(second_part).await;
+
+    assert_eq!(client.status_before_later_parts(&part_of_body).await, 400);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn further_signals_do_not_shorten_draining() {
     let endpoint = TestEndpoint::responding(ScriptedResponse::ok_after(1500, "x")).await;
