Let stalled requests give way first at the memory limit, however small they are

Cause: a connection with half a short head holds 27 KB, nearly all in the HTTP library's buffers, but only the bytes of the request counted, and under 4 KiB none gave way. So complete requests and arriving bodies did, which hold the most.

Change: a request that has waited 50 ms for its next bytes, with none unread in its socket, gives way before all others. Unread bytes are looked for, so that a busy gateway does not take its own delay for the client's.

--- a/gateway/src/client/connection.rs
+++ b/gateway/src/client/connection.rs
@@ -51,7 +51,7 @@
 
 impl StreamObserver for ReadObserver {
     fn on_read(&self, bytes: &[u8]) {
-        self.state.append_to_head(bytes);
+        self.state.record_read(bytes);
         self.overload.relieve();
     }
 
--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -38,6 +38,7 @@
     has_pending_request: Cell<bool>,
     /// The latest of the accept, the last response and the first byte of the request after that response.
     idle_since: Cell<Instant>,
+    last_read_at: Cell<Instant>,
     responded: Cell<bool>,
     responded_early: Cell<bool>,
     evicted: Cell<bool>,
@@ -57,6 +58,7 @@
             socket,
             has_pending_request: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
+            last_read_at: Cell::new(Instant::now()),
             responded: Cell::new(false),
             responded_early: Cell::new(false),
             evicted: Cell::new(false),
@@ -134,6 +136,12 @@
         (!body.is_discarded()).then(|| body.into_bytes())
     }
 
+    /// Since when an incomplete request has been waiting for its next bytes. `None` once it is complete, or is to be
+    /// rejected.
+    pub(super) fn waiting_since(&self) -> Option<Instant> {
+        (self.incomplete_request_bytes() > 0).then(|| self.last_read_at.get())
+    }
+
     /// The memory that an incomplete request holds, apart from the buffers that each connection has. None once
     /// the request is complete, or is to be rejected.
     pub(super) fn incomplete_request_bytes(&self) -> usize {
@@ -219,8 +227,9 @@
         self.body.replace(BodyBuffer::new(MAX_BODY_BYTES));
     }
 
-    /// Appends received bytes to the head, as far as they belong to that of the next request.
-    pub(super) fn append_to_head(&self, bytes: &[u8]) {
+    /// Records received bytes, and appends them to the head, as far as they belong to that of the next request.
+    pub(super) fn record_read(&self, bytes: &[u8]) {
+        self.last_read_at.set(Instant::now());
         let mut head = self.head.borrow_mut();
         if !self.is_idle() || bytes.is_empty() || head.is_complete() {
             return;
--- a/gateway/src/client/connection_table.rs
+++ b/gateway/src/client/connection_table.rs
@@ -89,6 +89,17 @@
         }
     }
 
+    /// The connection whose incomplete request has been waiting for its next bytes for longest, if that is at least
+    /// `min_wait` and no bytes are unread in its socket.
+    pub(super) fn stalled_request(&self, min_wait: Duration) -> Option<Rc<ConnectionState>> {
+        let connections = self.connections.borrow();
+        let waiting =
+            connections.iter().filter_map(|connection| Some((connection.waiting_since()?, connection)));
+        let (since, connection) = waiting.min_by_key(|(since, _)| *since)?;
+        let is_stalled = since.elapsed() >= min_wait && !connection.socket().has_unread_bytes();
+        is_stalled.then(|| connection.clone())
+    }
+
     /// The connection whose incomplete request holds the most memory, if that is at least `min_bytes`.
     pub(super) fn largest_incomplete_request(&self, min_bytes: usize) -> Option<Rc<ConnectionState>> {
         let connections = self.connections.borrow();
--- a/gateway/src/client/overload.rs
+++ b/gateway/src/client/overload.rs
@@ -1,19 +1,24 @@
 //! What gives way when the memory limit is reached.
 //!
-//! Requests that are not complete yet give way first, those that hold the most before others: they are answered
-//! at once, and the rest of what their clients send is dropped (`lingering_close`). A close without a response
-//! would lose a request whose last bytes wait unread in the socket or are on their way. If that does not
-//! suffice, complete requests are rejected before anything is forwarded. Requests in progress never give way.
+//! Requests that are not complete yet give way first: the stalled ones, so that clients which stop in the middle of a
+//! request make room for those which go on; then those that hold the most. They are answered at once, and
+//! the rest of what their clients send is dropped (`lingering_close`). A close without a response would lose a request
+//! whose last bytes wait unread in the socket or are on their way. If that does not suffice, complete requests are
+//! rejected before anything is forwarded. Requests in progress never give way.
 
 use crate::client::connection_state::ConnectionState;
 use crate::client::connection_table::ConnectionTable;
 use crate::memory::MemoryMonitor;
 use std::rc::Rc;
+use std::time::Duration;
 
-/// Incomplete requests that hold less than this do not give way: there are never enough of them to matter, and
-/// most are those of well-behaved clients.
+/// Incomplete requests that hold less than this do not give way unless they are stalled: there are never enough of them to
+/// matter, and most are those of well-behaved clients.
 const MIN_REJECTED_BYTES: usize = 4096;
 
+/// How long an incomplete request has to wait for its next bytes before it is stalled. Clients send a request at once.
+const MIN_STALL: Duration = Duration::from_millis(50);
+
 /// Keeps the memory in use below its limit.
 pub(super) struct MemoryOverload {
     memory: Rc<MemoryMonitor>,
@@ -38,7 +43,7 @@
     /// from a client, and before a response is received.
     pub(super) fn relieve(&self) {
         while self.is_exceeded() {
-            let Some(connection) = self.connections.largest_incomplete_request(MIN_REJECTED_BYTES) else {
+            let Some(connection) = self.next_to_give_way() else {
                 return;
             };
             connection.reject_incomplete_request();
@@ -46,6 +51,12 @@
         }
     }
 
+    /// The connection whose incomplete request gives way before all others.
+    fn next_to_give_way(&self) -> Option<Rc<ConnectionState>> {
+        let stalled = self.connections.stalled_request(MIN_STALL);
+        stalled.or_else(|| self.connections.largest_incomplete_request(MIN_REJECTED_BYTES))
+    }
+
     /// Whether a complete request is to be rejected, as the memory in use exceeds what requests may fill and no
     /// incomplete request can give way.
     pub(super) fn rejects_request(&self) -> bool {
--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -156,6 +156,11 @@
         peek(&self.stream)
     }
 
+    /// Whether bytes have arrived that were not read yet.
+    pub fn has_unread_bytes(&self) -> bool {
+        matches!(self.peek(), Ok(1..))
+    }
+
     /// Delays a timeout until other tasks could read the bytes that have already arrived on the socket.
     pub async fn wait_for_pending_read(&self) {
         wait_for_pending_read(&self.stream).await;
--- a/gateway/tests/memory_limit.rs
+++ b/gateway/tests/memory_limit.rs
@@ -27,6 +27,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
 const MAX_BODY_BYTES: usize = 64 * 1024;
 const CHUNKS_PER_WRITE: usize = 10;
+/// So many that none of 550 connections is evicted for another.
+const SOCKETS_WITHOUT_EVICTION: usize = 2048;
 
 fn options_with_memory_limit(endpoint: &TestEndpoint) -> GatewayOptions {
     with_memory_limit(GatewayOptions::with_endpoint(endpoint.address))
@@ -329,10 +331,8 @@
 async fn complete_requests_that_exceed_the_memory_limit_together_are_all_answered() {
     const CLIENTS: usize = 500;
     const REQUESTS_OF_EACH: usize = 6;
-    /// So many that no connection is evicted for another before its first request has arrived.
-    const MAX_SOCKETS: usize = 2048;
     let options = GatewayOptions {
-        max_sockets: MAX_SOCKETS,
+        max_sockets: SOCKETS_WITHOUT_EVICTION,
         ..options_with_endpoints(ScriptedResponse::ok_after(100, "x")).await
     };
     let env = TestEnvironment::start(&options, CounterBehavior::Add).await;
@@ -352,6 +352,52 @@
     assert!(count(Some(503)) > 0);
 }
 
+/// Connects clients that send a part of a short head, and waits until they are stalled.
+async fn stalled_clients(gateway: SocketAddr, count: usize) -> Vec<TestClient> {
+    /// Longer than a request has to wait for its next bytes to be stalled.
+    const STALL_MS: u64 = 150;
+    let mut clients = Vec::new();
+    for _ in 0..count {
+        let mut client = TestClient::connect(gateway).await;
+        client.write("POST /order/x HTTP/1.1\r\nHo").await;
+        clients.push(client);
+    }
+    sleep_ms(STALL_MS).await;
+    clients
+}
+
+// Guards against complete requests that are rejected for lack of memory while clients that have stopped in the middle of
+// short requests hold it with the buffers of their connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_requests_give_way_to_complete_ones_however_small_they_are() {
+    const STALLED_CLIENTS: usize = 530;
+    const CLIENTS: usize = 20;
+    loop {
+        let options = GatewayOptions {
+            max_sockets: SOCKETS_WITHOUT_EVICTION,
+            ..options_with_endpoints(ScriptedResponse::ok_after(100, "x")).await
+        };
+        let env = TestEnvironment::start(&options, CounterBehavior::Add).await;
+        let gateway = env.gateway.address;
+        let started_at = Instant::now();
+        let stalled = stalled_clients(gateway, STALLED_CLIENTS).await;
+
+        let clients: Vec<_> =
+            (0..CLIENTS).map(|_| tokio::spawn(send_complete_requests(gateway, 1))).collect();
+        let mut statuses = Vec::new();
+        for client in clients {
+            statuses.extend(within_timeout("the responses", client).await.expect("a client failed"));
+        }
+
+        // On a slow machine the request timeout has freed the memory. Such a run is inconclusive and is repeated.
+        if started_at.elapsed() >= REQUEST_TIMEOUT {
+            continue;
+        }
+        drop(stalled);
+        return assert_eq!(statuses, vec![Some(200); CLIENTS]);
+    }
+}
+
 /// Starts a gateway with a memory limit and endpoints that all send this response.
 async fn start_with_endpoints(response: ScriptedResponse) -> TestEnvironment {
     TestEnvironment::start(&options_with_endpoints(response).await, CounterBehavior::Add).await
