Do not send a second response to a readiness check that was to give way

What callers saw: a readiness check with a head over 4 KiB, read while the heap is at its limit, got its 200 and then an unsolicited 503 on the same connection.

Change: a response that is ready takes the mark away.

Test: readiness_check_that_is_to_give_way_for_memory_gets_one_response; before, data followed the response.

--- a/gateway/src/client/connection_state.rs
+++ b/gateway/src/client/connection_state.rs
@@ -221,6 +221,7 @@
 
     /// Records that a response is ready.
     pub(super) fn record_response(&self) {
+        self.close_state.set(CloseState::Open);
         self.has_pending_request.set(false);
         self.responded.set(true);
         self.has_unsent_output.set(true);
--- a/gateway/tests/memory_limit.rs
+++ b/gateway/tests/memory_limit.rs
@@ -234,6 +234,23 @@
     LargeRequests { statuses, elapsed: started_at.elapsed() }
 }
 
+// Guards against a second, unsolicited response: a readiness check with a long head was to give way when it was read, and
+// was answered before that took effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn readiness_check_that_is_to_give_way_for_memory_gets_one_response() {
+    const HEADER_BYTES: usize = 5000;
+    let mut options = GatewayOptions::with_entries(&[]).with_long_timeouts(LONG_TIMEOUT_MS);
+    // Less than the gateway holds without a client, so that every request is to give way.
+    options.config_edits.push(ConfigEdit::new(r#""limits":{"#, r#""limits":{"memory_mb":0.01,"#));
+    let env = TestEnvironment::start(&options, CounterBehavior::Add).await;
+    let mut client = env.gateway.client().await;
+    let long_check = format!("GET /up HTTP/1.1\r\nHost: x\r\nX-Long: {}\r\n\r\n", "y".repeat(HEADER_BYTES));
+
+    assert_eq!(client.request(&long_check).await.status(), 200);
+
+    client.expect_idle().await;
+}
+
 /// The heap in use, as the gateway logs it, in bytes.
 async fn heap_bytes_in_use(gateway: &GatewayProcess) -> u64 {
     let lines_before = gateway.count_log_lines("memory: ");
